--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -81,6 +81,15 @@
   return target.substr(0, target.find_first_of("/?"));
 }
 
+// What the log calls an outcome that speaks of trouble; null for the others.
+const char* Name(Outcome outcome) {
+  if (outcome == Outcome::kError) return "error";
+  if (outcome == Outcome::kTimeout) return "timed out";
+  if (outcome == Outcome::kConnectFailed) return "could not connect";
+  if (outcome == Outcome::kReset) return "reset";
+  return nullptr;
+}
+
 // Set for as long as events are only queued. Guards the queue against an exception on the way: a flag that
 // stays set would stop the whole node.
 class Busy {
@@ -232,11 +241,12 @@
   ForgetIfDone(id);
 }
 
-void Sidecar::Ended(RequestId id, AttemptId attempt, ExchangeResult result) {
+void Sidecar::Ended(RequestId id, AttemptId attempt, const std::string& upstream, ExchangeResult result) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return;
   Pending& pending = it->second;
   --pending.out;
+  LogBad(pending, upstream, static_cast<std::size_t>(attempt), result);
   if (result.outcome == Outcome::kServed && pending.reply) {
     HttpResponse response(http::status::ok, 11);
     response.base() = std::move(result.response.base());
@@ -249,6 +259,18 @@
   ForgetIfDone(id);
 }
 
+// One line for each attempt that ended badly, so that a request can be followed by its id.
+void Sidecar::LogBad(const Pending& pending, const std::string& upstream, std::size_t attempt,
+                     const ExchangeResult& result) {
+  const char* how = Name(result.outcome);
+  if (how == nullptr) return;
+  const auto us = [](Duration d) { return std::to_string(d.count()) + " us"; };
+  log_.Line(pending.wire_id + " " + std::string(pending.message->target()) + " to " + upstream + " attempt " +
+            std::to_string(attempt) + " " + how + " after " + us(result.elapsed) + " as exchange " +
+            std::to_string(result.use) + " of a connection open for " + us(result.open) + ", idle for " +
+            us(result.idle) + (result.why ? ": " + result.why.message() : ""));
+}
+
 void Sidecar::Answer(Pending& pending, HttpResponse response) {
   const auto reply = std::exchange(pending.reply, nullptr);
   if (reply) reply(std::move(response));
@@ -278,11 +300,10 @@
   const Upstreams::ExchangeId exchange{++last_exchange_};
   pending.attempts.push_back(exchange);
   ++pending.out;
-  const auto on_end = [this, id = action.request, attempt](ExchangeResult result) {
-    Ended(id, attempt, std::move(result));
-  };
+  const auto on_end = [this, id = action.request, attempt, uid = action.upstream.value](
+                          ExchangeResult result) { Ended(id, attempt, uid, std::move(result)); };
   // The client left or has its answer: nothing more is sent for it.
-  if (!pending.reply) return on_end({Outcome::kNotSent, Duration::zero(), {}, {}});
+  if (!pending.reply) return on_end({Outcome::kNotSent, {}, {}, {}});
   upstreams_.Send(exchange, action.upstream.value, pending.message, action.timeout, on_end);
 }
 
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -55,7 +55,10 @@
   void Apply(MembershipList list);
   Listener::OnGone Take(HttpRequest request, Listener::Reply reply);
   void Gone(kestrellb::RequestId id);
-  void Ended(kestrellb::RequestId id, kestrellb::AttemptId attempt, ExchangeResult result);
+  void Ended(kestrellb::RequestId id, kestrellb::AttemptId attempt, const std::string& upstream,
+             ExchangeResult result);
+  void LogBad(const Pending& pending, const std::string& upstream, std::size_t attempt,
+              const ExchangeResult& result);
   void Answer(Pending& pending, HttpResponse response);
   void ForgetOldIds(TimePoint now);
   void ForgetIfDone(kestrellb::RequestId id);
--- a/node/upstreams.cpp
+++ b/node/upstreams.cpp
@@ -117,6 +117,11 @@
     request_ = std::move(request);
     on_end_ = std::move(on_end);
     sent_ = Now();
+    if (connected_) {
+      idle_ = sent_ - idle_since_;
+    } else {
+      opened_ = sent_;
+    }
     gives_up_ = sent_ + timeout;
     phase_ = connected_ ? Phase::kWriting : Phase::kConnecting;
     ++use_;
@@ -130,7 +135,7 @@
     const auto pool = pool_.lock();
     socket_.async_connect(pool->location.endpoint, [self = shared_from_this()](error_code error) {
       if (self->closed_) return;
-      if (error) return self->End(Cause::kBroken);
+      if (error) return self->End(Cause::kBroken, error);
       self->connected_ = true;
       self->phase_ = Phase::kWriting;
       self->ArmTimer(self->gives_up_);
@@ -144,8 +149,9 @@
   // The exchange ends without an answer, and its connection with it: late bytes must never reach another
   // request. Whether the last byte was written is asked once no write is under way: a write that the system
   // has taken, but whose handler has not run, counts as written, and unsafe work hangs on that.
-  void End(Cause cause) {
+  void End(Cause cause, error_code why = {}) {
     if (phase_ == Phase::kIdle || ending_) return;
+    why_ = why;
     Close();
     if (write_pending_) {
       ending_ = cause;
@@ -206,7 +212,7 @@
       self->write_pending_ = false;
       if (self->ending_) return self->Finish(*self->ending_);
       if (self->closed_) return;
-      if (error) return self->End(Cause::kBroken);
+      if (error) return self->End(Cause::kBroken, error);
       self->phase_ = Phase::kWaiting;
     });
   }
@@ -224,7 +230,7 @@
   }
 
   void OnHeader(error_code error) {
-    if (error) return End(Cause::kBroken);
+    if (error) return End(Cause::kBroken, error);
     const unsigned status = parser_->get().result_int();
     if (status / 100 == 1) {
       const bool odd = status == static_cast<unsigned>(http::status::switching_protocols);
@@ -243,9 +249,10 @@
   }
 
   void OnRead(error_code error) {
-    if (error) return End(Cause::kBroken);
+    if (error) return End(Cause::kBroken, error);
     HttpResponse response = parser_->release();
-    ExchangeResult result{Classify(response), Now() - sent_, ParseLoad(response["X-Server-Load"]), {}};
+    ExchangeResult result = Result(Classify(response));
+    result.load = ParseLoad(response["X-Server-Load"]);
     // An answer before the request was written out leaves the connection between messages.
     const bool keep = response.keep_alive() && !write_pending_ && buffer_.size() == 0;
     result.response = std::move(response);
@@ -293,7 +300,11 @@
     const auto on_end = std::exchange(on_end_, nullptr);
     const auto self = shared_from_this();
     owner_.exchanges_.erase(id_);
-    on_end({outcome, Now() - sent_, {}, {}});
+    on_end(Result(outcome));
+  }
+
+  ExchangeResult Result(Outcome outcome) const {
+    return {outcome, Now() - sent_, {}, {}, why_, use_, sent_ - opened_, idle_};
   }
 
   Upstreams& owner_;
@@ -318,6 +329,9 @@
   TimePoint sent_;
   TimePoint gives_up_;
   TimePoint idle_since_;
+  error_code why_;
+  TimePoint opened_;
+  Duration idle_{};  // before this exchange
 };
 
 Upstreams::Upstreams(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
@@ -379,7 +393,7 @@
     connection = TakeIdle(*it->second);
     if (!connection) connection = Open(it->second);
   }
-  if (!connection) return on_end({Outcome::kNotSent, Duration::zero(), {}, {}});
+  if (!connection) return on_end({Outcome::kNotSent, {}, {}, {}});
   exchanges_.emplace(id, connection);
   connection->Start(id, std::move(request), timeout, std::move(on_end));
 }
--- a/node/upstreams.h
+++ b/node/upstreams.h
@@ -31,6 +31,12 @@
   Duration elapsed{};
   kestrellb::LoadReport load;
   HttpResponse response;  // of a served one
+  // Of the connection: why it broke, how many exchanges it has carried, and for how long it had been open, and
+  // idle, when this one began.
+  boost::system::error_code why{};
+  std::uint64_t use = 0;
+  Duration open{};
+  Duration idle{};
 };
 
 class Upstreams {
