Send a second copy only where the upstream answers nothing else either

Cause: each call that took three usual times got a copy. Works have a long tail and a cancel stops nothing here, so a call that is long in work was done twice and one of the two thrown away. Nearly all of those copies' upstreams were answering others.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -2,8 +2,7 @@
 // of an upstream and a request is in src/state.h.
 //
 // The mechanism is the consecutive-failures circuit breaker of the Linkerd circuit-breaking RFC, per
-// upstream, with smooth weighted rotation over the upstreams that are not ejected. docs/design.md says what
-// was kept and what was changed. The parts, in the order of this file:
+// upstream, with smooth weighted rotation over the upstreams that are not ejected. The parts, in this order:
 //   constants    one table; what can be derived from the settings is derived at its place of use
 //   membership   which upstreams there are; a new start time is a new process with a clean record
 //   ejection     the failure run, the ejection and its inflation, trials and the return
@@ -602,10 +601,13 @@
     retry_budget_ = std::min(kRetryBurst, retry_budget_ + kRetryBudget);
     Wake(r, r.deadline);
     Advance(r);
-    r.late_at = now_ + Scaled(UsualTime(cls), kLate);
-    if (!r.ended && r.cls->effect != Effect::kUnsafe && settings_.limits.second_copies &&
-        r.late_at < r.deadline)
-      Wake(r, r.late_at);
+    LookAgain(r);
+  }
+
+  void LookAgain(Request& r) {
+    r.late_at = now_ + Scaled(UsualTime(r.cls_index), kLate);
+    const bool may = r.cls->effect != Effect::kUnsafe && settings_.limits.second_copies;
+    if (!r.ended && may && r.late_at < r.deadline) Wake(r, r.late_at);
   }
 
   void Wake(const Request& r, TimePoint at) {
@@ -648,6 +650,9 @@
   void SecondCopy(Request& r) {
     if (r.ended || r.streaming || !AnyOut(r) || retry_budget_ < 1) return;
     if (now_ < r.late_at) return;
+    // Where its upstream answers others it is long in work: elsewhere too, and a cancel may stop nothing.
+    for (const Attempt& a : r.attempts)
+      if (!a.outcome && !Suspect(*a.upstream)) return LookAgain(r);
     if (held_ > 1 && held_ > limit_ * kSheddingFrom) return;
     const UpstreamPtr pick = Pick(r, true);
     if (!pick) return;
@@ -688,9 +693,7 @@
   }
 
   void On(const RequestGone& e) {
-    Request* r = Find(e.request);
-    if (r == nullptr) return;
-    End(*r);
+    if (Request* r = Find(e.request)) End(*r);
     Forget(e.request);
   }
 
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -1,4 +1,5 @@
 // The mechanism: one small test for each thing that the design or a failure asks of it.
+#include <algorithm>
 #include <deque>
 #include <stdexcept>
 
@@ -292,6 +293,33 @@
   EXPECT_EQ(w.cancelled.back().second, AttemptId{0}) << "the loser is called off";
 }
 
+// A call with much work is late everywhere: as long as its upstream answers others, a copy only wastes work.
+TEST(LateCall, GetsNoCopyWhileItsUpstreamAnswersOthers) {
+  World w;
+  w.List(4);
+  w.Spread(100);  // about 10 ms each
+  const std::size_t before = w.sent.size();
+  w.Arrive(kSafe);
+  const Sent late = w.sent[before];
+  const auto copies = [&] {
+    return std::count_if(w.sent.begin(), w.sent.end(),
+                         [&](const Sent& s) { return s.request == late.request; }) -
+           1;
+  };
+  int others = 0;
+  for (int i = 0; i < 10; ++i) {
+    const std::size_t next = w.sent.size();
+    for (int k = 0; k < 8; ++k) w.Arrive(kUnsafe);  // at once: each upstream has some of them
+    for (std::size_t k = next; k < next + 8; ++k) others += w.sent[k].upstream == late.upstream;
+    w.Advance(10ms);
+    for (std::size_t k = next; k < next + 8; ++k) w.Finish(w.sent[k], Outcome::kServed);
+  }
+  ASSERT_GE(others, 10);
+  EXPECT_EQ(copies(), 0);
+  w.Advance(200ms);  // now it answers nothing at all
+  EXPECT_EQ(copies(), 1);
+}
+
 TEST(RetryStorm, FurtherAttemptsAreBounded) {
   World w;
   w.List(4);
