Weigh the price of crossing zones against lateness when choosing among those asked

Cause: the module read settings.zone and prices.cross_zone and used neither; the least loaded of the asked won, wherever it was, and the asked were drawn from the whole list.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -392,7 +392,7 @@
   // The next upstream for this request by smooth weighted rotation over the subset: one not yet tried while
   // any such stands, and of those one in good standing; then the crowded ones, then the suspects. None that
   // just said it is full. Members that are out, suspect or tried are made up for by the next ones in order.
-  UpstreamPtr Pick(const Request& r, bool only_good = false) {
+  UpstreamPtr Pick(const Request& r, bool only_good = false, bool only_near = false) {
     double weight = 0;
     int outstanding = 1;
     std::vector<UpstreamPtr> takers;
@@ -401,6 +401,7 @@
       Upstream& u = *taker;
       if (room <= 0) break;
       if (!MayTake(u) || now_ < u.full_until || !MaySend(r, u)) continue;
+      if (only_near && !Near(u)) continue;
       takers.push_back(taker);
       if (Suspect(u)) continue;
       if (!Tried(r, u)) room -= Warmth(u);  // the cold ones are no help yet
@@ -436,11 +437,12 @@
     return best;
   }
 
-  // Sent to for this request, or asked for its load.
+  bool Near(const Upstream& u) const { return u.info.zone == settings_.zone; }
+
+  // Sent to for this request, or asked.
   static bool Tried(const Request& r, const Upstream& u) {
     const auto same = [&u](const auto& a) { return a.upstream.get() == &u; };
-    return std::any_of(r.attempts.begin(), r.attempts.end(), same) ||
-           std::any_of(r.asked.begin(), r.asked.end(), same);
+    return std::ranges::any_of(r.attempts, same) || std::ranges::any_of(r.asked, same);
   }
 
   // ---- Attempts ----
@@ -468,12 +470,11 @@
   bool MayRefuse(const Request& r) const {
     if (r.cls->effect == Effect::kSafe) return true;
     if (r.cls->effect == Effect::kKeyed && r.cls->key_scope == KeyScope::kAll) return true;
-    return std::all_of(r.attempts.begin(), r.attempts.end(),
-                       [](const Attempt& a) { return a.outcome && ProvesNotRun(*a.outcome); });
+    return std::ranges::all_of(r.attempts, [](auto& a) { return a.outcome && ProvesNotRun(*a.outcome); });
   }
 
   bool AnyOut(const Request& r) const {
-    return std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return !a.outcome; });
+    return std::ranges::any_of(r.attempts, [](const Attempt& a) { return !a.outcome; });
   }
 
   Duration Timeout(const Request& r) const {
@@ -494,7 +495,9 @@
     if (!pick) return false;
     r.asked = {{pick}};
     while (r.asked.size() < asks_) {
-      const UpstreamPtr next = Pick(r);
+      // Where crossing zones has its price the further ones asked are near, if there are any.
+      UpstreamPtr next = settings_.prices.cross_zone > 0 ? Pick(r, true, true) : nullptr;
+      if (!next || Tried(r, *next)) next = Pick(r);
       if (!next || Tried(r, *next)) break;  // there is no other
       r.asked.push_back({next});
     }
@@ -526,7 +529,10 @@
         jammed = true;
         continue;
       }
-      const double load = (*a.held + 1) * Slowness(u) / (u.info.weight * Warmth(u));
+      // Squared like the weight: about how likely it is late, against which a crossing's price is weighed.
+      const double wait = (*a.held + 1) * Slowness(u) / (u.info.weight * Warmth(u));
+      const double late = wait * Seconds(UsualTime(r.cls_index)) / Seconds(r.cls->aim);
+      const double load = late * late + (Near(u) ? 0 : settings_.prices.cross_zone);
       if (!best || load < least) best = a.upstream, least = load;
     }
     if (jammed && !best) SayRefusing("overload, upstreams hold more than they can serve in time");
@@ -538,7 +544,7 @@
   void On(const ProbeEnded& e) {
     const auto it = index_.find(e.upstream.value);
     if (it == index_.end()) return;
-    // No answer to as little as this is a failure like another.
+    // No answer to as little as this is a failure.
     if (e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kTimeout) ++it->second->failure_run;
     const std::vector<RequestId> asking = asking_;
     for (const RequestId id : asking) {
@@ -550,8 +556,7 @@
         a.held = e.load.in_flight;
         a.served = e.load.rate.value_or(0);
       }
-      if (std::all_of(r->asked.begin(), r->asked.end(), [](const Asked& a) { return a.answered; }))
-        Decide(*r);
+      if (std::ranges::all_of(r->asked, &Asked::answered)) Decide(*r);
     }
   }
 
@@ -843,10 +848,7 @@
     UpdateUsual();
     UpdateLimit();
     trusted_idle_ = std::min(Scaled(trusted_idle_, kTrustGrowth), settings_.limits.idle_close);
-    if (refusing_ && now_ - refused_at_ > kSpell) {
-      refusing_ = false;
-      Say("taking calls again");
-    }
+    if (refusing_ && now_ - refused_at_ > kSpell) refusing_ = false, Say("taking calls again");
     for (const UpstreamPtr& u : order_) ReturnIfServed(*u);
     if (ask_again_at_ && now_ >= *ask_again_at_) {
       ask_again_at_.reset();
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -149,6 +149,34 @@
   }
 }
 
+// A crossing has its price: it is worth paying only for a call that would else be late.
+TEST(CrossingZones, CallsStayNearUntilThoseThereHoldTooMuch) {
+  Settings settings = Reporting();
+  settings.prices.cross_zone = 0.1;
+  World w(settings);
+  std::vector<UpstreamInfo> list;
+  for (const char id : {'a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'}) {
+    list.push_back(Up(std::string(1, id)));
+    if (id > 'c') list.back().zone = "there";
+  }
+  w.Full(list);
+  const auto crossed = [&w](double held_here) {
+    w.probed.clear();
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    for (const std::string& id : std::vector<std::string>(w.probed)) Report(w, id, id > "c" ? 0 : held_here);
+    EXPECT_EQ(w.sent.size(), before + 1);
+    w.now += 40ms;  // a tenth of the aim
+    w.Finish(w.sent.back(), Outcome::kServed);
+    return w.sent.back().upstream > "c";
+  };
+  int near_idle = 0, near_busy = 0;
+  for (int i = 0; i < 40; ++i) near_idle += crossed(1);
+  for (int i = 0; i < 40; ++i) near_busy += crossed(9);
+  EXPECT_EQ(near_idle, 0);
+  EXPECT_GT(near_busy, 10);
+}
+
 TEST(OtherSidecarsQueues, ASilentProbeHoldsACallForAMomentAndIsAFailure) {
   World w(Reporting());
   w.List(6);
