Share one probe among the calls that wait for the same upstream's report

Cause: each call sent three probes of its own, though any report of an upstream already answered all calls that waited for it. A burst of 60 calls opened 180 connections, and each handshake costs the upstream work. Mend: no second probe while one is out; calls sent since a report count with it. Ruled out: a stall in the program (both sidecars paused together, for want of requests).

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -41,8 +41,8 @@
 constexpr std::uint64_t kHousekeepingToken = 0;
 // A cold upstream gets at most this share of what would topple it, going by the load that its peers bear.
 constexpr double kColdSafety = 0.5;
-// Load is not sickness: five in a row are rare where one call in ten fails. Where more of the calls to the
-// other upstreams fail, the run must be long enough to be as rare as that.
+// Load is not sickness: where more than this share of the calls to the other upstreams fail, the run must be
+// long enough to be as rare as five in a row are here.
 constexpr double kOrdinaryFailureShare = 0.1;
 // An upstream's share of failures follows about this many of its latest calls.
 constexpr double kOutcomeMemory = 20;
@@ -71,8 +71,7 @@
 constexpr double kSlownessMemory = 10;
 constexpr double kKindPrior = 5;
 constexpr double kMaxSlowness = 3;
-// Silent: it holds calls and has answered nothing for this many usual times. Works are about exponential, so
-// a healthy upstream with one call is that slow once in twenty.
+// Silent: it holds calls and has answered nothing for this many usual times.
 constexpr double kSilence = 3;
 // So many failures in a row make a suspect, that is passed over while others stand.
 constexpr int kFailuresToSuspect = 2;
@@ -82,7 +81,7 @@
 // burst.
 constexpr double kRetryBudget = 0.3;
 constexpr double kRetryBurst = 10;
-// So many attempts after a proof that nothing ran are free of it: each may be a connection for a full fleet.
+// So many attempts after a proof that nothing ran are free of it.
 constexpr std::size_t kFreeRepeats = 2;
 // Where upstreams tell their load when probed, the next ones in turn are asked before a call, as many as this
 // share of the service pays for and at most kMostAsked; the call waits for this share of a connect time-out.
@@ -91,8 +90,7 @@
 constexpr double kAskPatience = 0.1;
 // One that holds more than it serves in this share of the call's aim is jammed: times vary about twofold.
 constexpr double kHoldFor = 0.5;
-// How strongly an upstream's share of failures takes from its weight: errors come fast and would attract
-// calls.
+// How strongly an upstream's share of failures takes from its weight: errors come fast and attract calls.
 constexpr int kSuccessPower = 3;
 // Overload shows as answers after their aim, time-outs and refusals as full from upstreams in good standing.
 // Above kTooManyLate of at least kLateSample outcomes (a quarter of them, where all of these are late) the
@@ -108,7 +106,7 @@
 constexpr double kLimitGrowth = 0.05;
 constexpr double kLeastLimit = 0.5;  // of a call, taken by chance: in sum it still sheds
 // Near the limit the classes with less worth for their time are refused first, from this share of it on, but
-// each class keeps at least kClassFloor of its calls as long as the limit itself has room.
+// each class keeps kClassFloor of its calls.
 constexpr double kSheddingFrom = 0.7;
 constexpr double kClassFloor = 0.4;
 // A spell of refusing is over when none was refused for this long.
@@ -488,8 +486,7 @@
     if (!pick) return false;
     r.asked = {{pick}};
     while (r.asked.size() < asks_) {
-      // Where crossing zones has its price the next one is near; a third is anywhere, as near ones jam
-      // together.
+      // Where crossing zones has its price the next one is near; a third anywhere, as near ones jam together.
       const bool near = settings_.prices.cross_zone > 0 && r.asked.size() == 1;
       UpstreamPtr next = near ? Pick(r, true, true) : nullptr;
       if (!next || Tried(r, *next)) next = Pick(r);
@@ -501,7 +498,9 @@
       SendTo(r, pick, false);
       return true;
     }
-    for (const Asked& a : r.asked) Emit(SendProbe{a.upstream->info.id});
+    // One answer serves all that wait for it: a burst would open a connection for each probe.
+    for (const Asked& a : r.asked)
+      if (!std::exchange(a.upstream->asked, true)) Emit(SendProbe{a.upstream->info.id});
     asking_.push_back(r.id);
     Wake(r, now_ + Scaled(settings_.limits.connect_timeout, kAskPatience));
     return true;
@@ -546,19 +545,16 @@
   void On(const ProbeEnded& e) {
     const auto it = index_.find(e.upstream.value);
     if (it == index_.end()) return;
+    it->second->asked = false;
     // No answer to as little as this is a failure.
     if (e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kTimeout) ++it->second->failure_run;
     const std::vector<RequestId> asking = asking_;
+    for (const RequestId id : asking)
+      for (Asked& a : Find(id)->asked)
+        if (a.upstream == it->second) a = {a.upstream, true, e.load.in_flight, e.load.rate.value_or(0)};
     for (const RequestId id : asking) {
       Request* r = Find(id);
-      if (r == nullptr) continue;
-      for (Asked& a : r->asked) {
-        if (a.upstream != it->second) continue;
-        a.answered = true;
-        a.held = e.load.in_flight;
-        a.served = e.load.rate.value_or(0);
-      }
-      if (std::ranges::all_of(r->asked, &Asked::answered)) Decide(*r);
+      if (r != nullptr && !r->asked.empty() && std::ranges::all_of(r->asked, &Asked::answered)) Decide(*r);
     }
   }
 
@@ -568,6 +564,9 @@
     if (u.outstanding++ == 0) u.waiting_since = now_;
     peak_held_ = std::max(peak_held_, ++held_);
     if (trial) u.on_trial = true;
+    for (const RequestId id : asking_)  // what they were told did not count this one
+      for (Asked& a : Find(id)->asked)
+        if (a.upstream == upstream && a.held) ++*a.held;
     const Duration idle_for = now_ - u.idle_since;
     if (u.idle > 0 && idle_for > trusted_idle_) {
       Emit(CloseIdle{u.info.id});
--- a/src/state.h
+++ b/src/state.h
@@ -65,6 +65,7 @@
   TimePoint next_trial;
   Duration trial_gap{};
   int trials_served = 0;
+  bool asked = false;       // a probe is out
   bool on_trial = false;    // one trial at a time
   TimePoint waiting_since;  // while it holds calls: since when it has answered none
   TimePoint full_until;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -194,6 +194,22 @@
   EXPECT_EQ(std::count(w.probed.begin(), w.probed.end(), silent), 0) << "a suspect now";
 }
 
+TEST(OtherSidecarsQueues, ABurstSharesTheAnswersOfOneProbeEach) {
+  World w(Reporting());
+  w.List(6);
+  for (int i = 0; i < 30; ++i) w.Arrive(kUnsafe);
+  std::set<std::string> asked(w.probed.begin(), w.probed.end());
+  EXPECT_EQ(w.probed.size(), asked.size()) << "no upstream twice";
+  EXPECT_TRUE(w.sent.empty());
+  for (const std::string& id : asked) Report(w, id, 1);
+  EXPECT_EQ(w.sent.size(), 30u);
+  std::map<std::string, int> spread;
+  for (const Sent& sent : w.sent) EXPECT_LE(++spread[sent.upstream], 8) << "not all to the same one";
+  w.probed.clear();
+  w.Arrive(kUnsafe);
+  EXPECT_EQ(w.probed.size(), 3u) << "asked anew once the answers are in";
+}
+
 TEST(OtherSidecarsQueues, ACallThatEndsWhileItWaitsIsNotSent) {
   World w(Reporting());
   w.List(6);
