--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -71,8 +71,7 @@
 constexpr double kSlownessMemory = 10;
 constexpr double kKindPrior = 5;
 constexpr double kMaxSlowness = 3;
-// Silent: it holds calls and has answered nothing for this many usual times.
-constexpr double kSilence = 3;
+constexpr double kSilence = 3;  // it holds calls and has answered nothing for this many usual times
 // So many failures in a row make a suspect, that is passed over while others stand.
 constexpr int kFailuresToSuspect = 2;
 // A call that takes this many usual times of its class gets a second copy, where it may have one.
@@ -81,13 +80,13 @@
 // burst.
 constexpr double kRetryBudget = 0.3;
 constexpr double kRetryBurst = 10;
-// So many attempts after a proof that nothing ran are free of it.
-constexpr std::size_t kFreeRepeats = 2;
+constexpr std::size_t kFreeRepeats = 2;  // so many attempts after a proof that nothing ran are free of it
 // Where upstreams tell their load when probed, the next ones in turn are asked before a call, as many as this
 // share of the service pays for and at most kMostAsked; the call waits for this share of a connect time-out.
 constexpr double kAskSpend = 0.01;
 constexpr double kMostAsked = 3;
 constexpr double kAskPatience = 0.1;
+constexpr std::size_t kAsksAtRisk = 2;  // where probes are dear: the pick and one to turn to
 // One that holds more than it serves in this share of the call's aim is jammed: times vary about twofold.
 constexpr double kHoldFor = 0.5;
 // How strongly an upstream's share of failures takes from its weight: errors come fast and attract calls.
@@ -109,8 +108,7 @@
 // each class keeps kClassFloor of its calls.
 constexpr double kSheddingFrom = 0.7;
 constexpr double kClassFloor = 0.4;
-// A spell of refusing is over when none was refused for this long.
-constexpr Duration kSpell = seconds(2);
+constexpr Duration kSpell = seconds(2);  // refusing is over when none was refused for this long
 // Clients that are told to come back do so spread over one to two times this, or the settings' longest wait.
 constexpr Duration kRetryAfter = milliseconds(500);
 
@@ -121,9 +119,10 @@
   Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
     settings_.Validate();
     trusted_idle_ = settings_.limits.idle_close;
-    if (settings_.load_by_probe && settings_.limits.probes)
-      asks_ = static_cast<std::size_t>(
-          std::clamp(kAskSpend / std::max(settings_.prices.probe, 1e-9), 1.0, kMostAsked));
+    if (settings_.load_by_probe && settings_.limits.probes) {
+      ask_price_ = std::max(settings_.prices.probe, 1e-9);
+      asks_ = static_cast<std::size_t>(std::clamp(kAskSpend / ask_price_, 1.0, kMostAsked));
+    }
     usual_time_.resize(settings_.classes.size());
     admitted_.assign(settings_.classes.size(), 1);
   }
@@ -430,12 +429,6 @@
 
   bool Near(const Upstream& u) const { return u.info.zone == settings_.zone; }
 
-  // Sent to for this request, or asked.
-  static bool Tried(const Request& r, const Upstream& u) {
-    const auto same = [&u](const auto& a) { return a.upstream.get() == &u; };
-    return std::ranges::any_of(r.attempts, same) || std::ranges::any_of(r.asked, same);
-  }
-
   // ---- Attempts ----
 
   // May this be sent again (or for the first time), to this upstream? The one gate to every attempt.
@@ -464,10 +457,6 @@
     return std::ranges::all_of(r.attempts, [](auto& a) { return a.outcome && ProvesNotRun(*a.outcome); });
   }
 
-  bool AnyOut(const Request& r) const {
-    return std::ranges::any_of(r.attempts, [](const Attempt& a) { return !a.outcome; });
-  }
-
   Duration Timeout(const Request& r) const {
     const Duration left = r.deadline - now_;
     // What may be repeated is given up at its aim: another upstream may have time for it, or it is worth
@@ -485,7 +474,8 @@
     const UpstreamPtr pick = Pick(r);
     if (!pick) return false;
     r.asked = {{pick}};
-    while (r.asked.size() < asks_) {
+    const std::size_t asks = asks_ == 1 && Risk(*pick) > ask_price_ ? kAsksAtRisk : asks_;
+    while (r.asked.size() < asks) {
       // Where crossing zones has its price the next one is near; a third anywhere, as near ones jam together.
       const bool near = settings_.prices.cross_zone > 0 && r.asked.size() == 1;
       UpstreamPtr next = near ? Pick(r, true, true) : nullptr;
@@ -506,6 +496,14 @@
     return true;
   }
 
+  // How likely a call to it is late, by what this sidecar saw of it lately and, as far as that is little, of
+  // all. Where probes are dear only what costs more than one is asked for its load.
+  double Risk(const Upstream& u) const {
+    const Fading all = all_late_.By(now_, settings_.rules.cold_time / 2);
+    const Fading own = u.late.By(now_, settings_.rules.cold_time / 2);
+    return (own.sum + all.sum / std::max(1.0, all.samples)) / (own.samples + 1);
+  }
+
   // Of the upstreams asked, the one that holds the least for what it can do. Guards against queues that a
   // sidecar with a trickle does not see: they are other sidecars' calls.
   void Decide(Request& r) {
@@ -726,12 +724,15 @@
   // Lateness of a cold, suspect or ejected upstream is its own trouble, unless such ones are the most.
   bool Telling(const Upstream& u) const { return !u.ejected && Warmth(u) >= 1 && !Suspect(u); }
 
-  void CountLate(const Request& r, const Upstream& u, Outcome outcome, Duration elapsed) {
+  void CountLate(const Request& r, Upstream& u, Outcome outcome, Duration elapsed) {
+    const bool late = outcome != Outcome::kServed || elapsed > Scaled(r.cls->aim, kLateFrom);
+    if (outcome != Outcome::kCancelled && outcome != Outcome::kNotSent)
+      for (Fading* share : {&u.late, &all_late_}) share->Add(late, now_, settings_.rules.cold_time / 2);
     if (!Telling(u) && 2 * telling_weight_ > serving_weight_) return;
     if (outcome != Outcome::kServed && outcome != Outcome::kTimeout && outcome != Outcome::kFull) return;
     if (outcome == Outcome::kTimeout && !Loaded(u)) return;
     ++timely_or_not_;
-    late_ += outcome != Outcome::kServed || elapsed > Scaled(r.cls->aim, kLateFrom);
+    late_ += late;
   }
 
   // What the upstreams that can take calls hold ordinarily is not what makes them late: cutting below it
@@ -862,11 +863,6 @@
     return it == requests_.end() ? nullptr : &it->second;
   }
 
-  static Attempt* AttemptOf(Request& r, AttemptId id) {
-    const auto i = static_cast<std::size_t>(id);
-    return i < r.attempts.size() ? &r.attempts[i] : nullptr;
-  }
-
   void Forget(RequestId id) {
     const Request* r = Find(id);
     if (r != nullptr && r->ended && !AnyOut(*r)) requests_.erase(id);
@@ -908,6 +904,8 @@
   double late_ = 0;  // of timely_or_not_ outcomes, likewise
   double timely_or_not_ = 0;
   std::size_t asks_ = 1;           // upstreams asked for their load before a call; 1: none
+  double ask_price_ = 1;           // of a probe, as a share of a call's worth; 1: none is to be sent
+  Fading all_late_;                // as Upstream::late, over all
   std::vector<RequestId> asking_;  // requests that wait for reports
   std::vector<double> admitted_;   // each class's share of late
   std::uint64_t arrivals_ = 0;     // since the last housekeeping
--- a/src/state.h
+++ b/src/state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -36,6 +37,21 @@
   }
 };
 
+// A share over what was seen lately: samples fade with time, as what they tell of does.
+struct Fading {
+  double sum = 0;
+  double samples = 0;
+  TimePoint at;
+  Fading By(TimePoint now, Duration memory) const {
+    const double kept = std::exp(-Seconds(now - at) / Seconds(memory));
+    return {sum * kept, samples * kept, now};
+  }
+  void Add(double sample, TimePoint now, Duration memory) {
+    *this = By(now, memory);
+    sum += sample, samples += 1;
+  }
+};
+
 inline Duration TimeOr(const Mean& mean, Duration unknown) {
   return mean.value >= 1 ? Duration(static_cast<Duration::rep>(mean.value)) : unknown;
 }
@@ -72,6 +88,7 @@
   Mean slowness;   // its answers' time against the usual of their class
   Mean held;       // what it held for these, by its reports, the call itself included
   Mean aim_share;  // its answers' time against their aim
+  Fading late;     // its answers: 1 for one that came late or never
   // Its own recent calls, old ones fading.
   double calls = 0;
   double failures = 0;
@@ -120,4 +137,19 @@
   bool streaming = false;    // its answer has begun: it belongs to the client
 };
 
+inline bool AnyOut(const Request& r) {
+  return std::ranges::any_of(r.attempts, [](const Attempt& a) { return !a.outcome; });
+}
+
+// Sent to for this request, or asked.
+inline bool Tried(const Request& r, const Upstream& u) {
+  const auto same = [&u](const auto& a) { return a.upstream.get() == &u; };
+  return std::ranges::any_of(r.attempts, same) || std::ranges::any_of(r.asked, same);
+}
+
+inline Attempt* AttemptOf(Request& r, AttemptId id) {
+  const auto i = static_cast<std::size_t>(id);
+  return i < r.attempts.size() ? &r.attempts[i] : nullptr;
+}
+
 }  // namespace kestrellb
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -149,6 +149,36 @@
   }
 }
 
+// With a probe's price as in a large fleet, where a call is worth a dozen probes.
+TEST(OtherSidecarsQueues, WhereProbesAreDearOnlyACallAtRiskOfBeingLateAsks) {
+  Settings settings = Reporting();
+  settings.prices.probe = 0.08;
+  World w(settings);
+  w.List(6);
+  for (int i = 0; i < 40; ++i) EXPECT_NE(w.Serve(kUnsafe), "");
+  EXPECT_TRUE(w.probed.empty()) << "all in time: nothing to learn";
+  for (int i = 0; i < 6; ++i) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    for (const std::string& id : std::vector<std::string>(w.probed)) Report(w, id, 0);
+    w.probed.clear();
+    ASSERT_EQ(w.sent.size(), before + 1);
+    w.now += 600ms;
+    w.Finish(w.sent.back(), Outcome::kServed);  // its aim was 400 ms
+  }
+  w.Arrive(kUnsafe);
+  ASSERT_EQ(w.probed.size(), 2u) << "the pick and one to turn to";
+  const std::vector<std::string> asked = w.probed;
+  Report(w, asked[0], 1);
+  Report(w, asked[1], 0);
+  EXPECT_EQ(w.sent.back().upstream, asked[1]);
+  w.Finish(w.sent.back(), Outcome::kServed);
+  w.probed.clear();
+  w.Advance(60s);  // what was seen then tells nothing any more
+  EXPECT_NE(w.Serve(kUnsafe), "");
+  EXPECT_TRUE(w.probed.empty());
+}
+
 // A crossing has its price: it is worth paying only for a call that would else be late.
 TEST(CrossingZones, CallsStayNearUntilThoseThereHoldTooMuch) {
   Settings settings = Reporting();
