Tell refused clients to return after the settings' longest wait, not within the trouble

A call refused or given up at its aim was asked for again 0.5 to 1 s later, past every aim there: none of it counts, all of it loads. Ruled out: the sidecars' own retries (attempts a request stay at 1.1 and below). At fault: kRetryAfter in Finish(). The answer itself still goes out at once.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -74,8 +74,7 @@
 constexpr double kSilence = 3;  // it holds calls and has answered nothing for this many usual times
 // So many failures in a row make a suspect, that is passed over while others stand.
 constexpr int kFailuresToSuspect = 2;
-// A call that takes this many usual times of its class gets a second copy, where it may have one.
-constexpr double kLate = 3;
+constexpr double kLate = 3;  // a call that takes so many usual times gets a second copy, where it may
 // Further attempts after a failure and second copies are at most this share of first tries, saved up to a
 // burst.
 constexpr double kRetryBudget = 0.3;
@@ -109,8 +108,8 @@
 constexpr double kSheddingFrom = 0.7;
 constexpr double kClassFloor = 0.4;
 constexpr Duration kSpell = seconds(2);  // refusing is over when none was refused for this long
-// Clients that are told to come back do so spread over one to two times this, or the settings' longest wait.
-constexpr Duration kRetryAfter = milliseconds(500);
+// Clients that are told to come back do so after the settings' longest wait, spread over this share of it.
+constexpr double kRetrySpread = 0.1;
 
 }  // namespace
 
@@ -772,8 +771,9 @@
   void Finish(Request& r) {
     if (r.ended) return;
     if (MayRefuse(r)) {
-      const Duration most = settings_.limits.max_retry_after;
-      const Duration wait = std::min(Scaled(kRetryAfter, 1 + Uniform()), most);
+      // A call given up at its aim or in an overload gains nothing by a repeat that comes sooner: it would be
+      // late or refused too, and all sidecars' repeats together keep the overload up.
+      const Duration wait = Scaled(settings_.limits.max_retry_after, 1 - kRetrySpread * Uniform());
       Emit(Refuse{r.id, settings_.limits.retry_after ? wait : Duration::zero()});
     } else {
       Emit(Fail{r.id});
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -179,6 +179,20 @@
   EXPECT_TRUE(w.probed.empty());
 }
 
+// Each client's repeat is harmless; all clients' repeats of what can no longer be in time are the overload.
+TEST(RefusedCalls, ComeBackAfterTheLongestWaitAndNotInStep) {
+  std::set<Duration> waits;
+  for (const auto& w : Fleet(100)) {
+    w->List(0);
+    w->Arrive(kUnsafe);
+    ASSERT_EQ(w->refused.size(), 1u) << "at once";
+    EXPECT_LE(w->last_retry_after, DefaultSettings().limits.max_retry_after);
+    EXPECT_GE(w->last_retry_after, DefaultSettings().limits.max_retry_after * 9 / 10);
+    waits.insert(w->last_retry_after);
+  }
+  EXPECT_GT(waits.size(), 90u);
+}
+
 // A crossing has its price: it is worth paying only for a call that would else be late.
 TEST(CrossingZones, CallsStayNearUntilThoseThereHoldTooMuch) {
   Settings settings = Reporting();
