Keep to as many upstreams as five calls each reach while the first still counts

Ruled out: uneven load by the narrower choice (spread of the upstreams by rendezvous hashing; 60 used in all). At fault: kVisit in SubsetSize(), tied to the idle time of connections and to nothing that is learnt.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -51,9 +51,7 @@
 constexpr Duration kFirstTrial = milliseconds(1000);
 constexpr Duration kMaxTrial = milliseconds(8000);
 constexpr int kTrialsToReturn = 2;
-// Subsetting: over as many upstreams as it calls about once in this share of the time after which an idle
-// connection is closed, over kLeastSubset at least, and over all until its rate has been seen for kRateKnown.
-constexpr double kVisit = 0.25;
+// Subsetting: over kLeastSubset upstreams at least, and over all until its rate has been seen for kRateKnown.
 constexpr double kLeastSubset = 3;
 constexpr Duration kRateKnown = seconds(2);
 // How long an idle connection is trusted: half the age at which one was found dropped, at least kLeastTrust,
@@ -176,11 +174,12 @@
     });
   }
 
-  // Guards against a trickle spread so thin that no upstream is met twice: every call would need a new
-  // connection and tell nothing of the next. Where calls are many it is the list.
+  // As many as it sends the calls that eject one while what the first tells still counts. Guards against a
+  // trickle spread so thin that no upstream is met twice: every call would need a new connection and tell
+  // nothing of the next. Where calls are many it is the list.
   double SubsetSize() const {
     if (now_ - started_ < kRateKnown || usual_rate_ <= 0) return static_cast<double>(order_.size());
-    return std::max(kLeastSubset, usual_rate_ * kVisit * Seconds(settings_.limits.idle_close));
+    return std::max(kLeastSubset, usual_rate_ * Seconds(LateMemory()) / kFailuresToEject);
   }
 
   void Adopt(const UpstreamInfo& info, std::vector<UpstreamPtr>& entering) {
@@ -498,11 +497,13 @@
   // How likely a call to it is late, by what this sidecar saw of it lately and, as far as that is little, of
   // all. Where probes are dear only what costs more than one is asked for its load.
   double Risk(const Upstream& u) const {
-    const Fading all = all_late_.By(now_, settings_.rules.cold_time / 2);
-    const Fading own = u.late.By(now_, settings_.rules.cold_time / 2);
+    const Fading all = all_late_.By(now_, LateMemory());
+    const Fading own = u.late.By(now_, LateMemory());
     return (own.sum + all.sum / std::max(1.0, all.samples)) / (own.samples + 1);
   }
 
+  Duration LateMemory() const { return settings_.rules.cold_time / 2; }
+
   // Of the upstreams asked, the one that holds the least for what it can do. Guards against queues that a
   // sidecar with a trickle does not see: they are other sidecars' calls.
   void Decide(Request& r) {
@@ -726,7 +727,7 @@
   void CountLate(const Request& r, Upstream& u, Outcome outcome, Duration elapsed) {
     const bool late = outcome != Outcome::kServed || elapsed > Scaled(r.cls->aim, kLateFrom);
     if (outcome != Outcome::kCancelled && outcome != Outcome::kNotSent)
-      for (Fading* share : {&u.late, &all_late_}) share->Add(late, now_, settings_.rules.cold_time / 2);
+      for (Fading* share : {&u.late, &all_late_}) share->Add(late, now_, LateMemory());
     if (!Telling(u) && 2 * telling_weight_ > serving_weight_) return;
     if (outcome != Outcome::kServed && outcome != Outcome::kTimeout && outcome != Outcome::kFull) return;
     if (outcome == Outcome::kTimeout && !Loaded(u)) return;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -54,6 +54,25 @@
   for (const auto& [id, calls] : fleet) EXPECT_LT(calls, 200) << id << ", 100 are its share";
 }
 
+// One of a hundred that together load sixty upstreams: it meets each of its own often enough to know it.
+TEST(ColdConnections, OneOfAHundredSeesFiveFailuresWhileTheFirstStillCounts) {
+  Settings settings = DefaultSettings();
+  settings.balancers = 100;
+  settings.rules.cold_time = 7400ms;
+  World w(settings);
+  std::vector<UpstreamInfo> list;
+  for (int i = 0; i < 60; ++i) list.push_back(Up("s" + std::to_string(i)));
+  w.Full(list);
+  std::map<std::string, int> spread;
+  for (int i = 0; i < 150; ++i) {  // 15 calls a second for 10 s
+    w.Advance(57ms);
+    const std::string taker = w.Serve();
+    if (i >= 75) ++spread[taker];
+  }
+  EXPECT_LE(spread.size(), 14u);
+  EXPECT_GE(spread.size(), 8u);
+}
+
 TEST(ColdConnections, AChangeOfTheListLeavesTheRestOfTheSubset) {
   World w;
   w.List(20);
