Count a cold upstream's budget and first turn against the subset that may call it

A hundred sidecars sent a fresh upstream nothing at all for 3 s (0 in the new test) and next to nothing after. At fault: HasColdBudget() took the sidecar's share over the whole list, though only every sixth sidecar or so calls that upstream; Enter() drew the first turn from the whole list's weight, a turn several times as long as the subset's; and the budget began a whole call short, so that no sidecar called for about two seconds.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -39,13 +39,11 @@
 // Housekeeping (returns, budgets, asking for membership) is not urgent: decisions look at the clock.
 constexpr Duration kHousekeeping = milliseconds(250);
 constexpr std::uint64_t kHousekeepingToken = 0;
-// A cold upstream gets at most this share of what would topple it, going by the load that its peers bear.
-constexpr double kColdSafety = 0.5;
+constexpr double kColdSafety = 0.5;  // of what would topple a cold one, going by its peers' load
 // Load is not sickness: where more than this share of the calls to the other upstreams fail, the run must be
 // long enough to be as rare as five in a row are here.
 constexpr double kOrdinaryFailureShare = 0.1;
-// An upstream's share of failures follows about this many of its latest calls.
-constexpr double kOutcomeMemory = 20;
+constexpr double kOutcomeMemory = 20;  // an upstream's share of failures follows about so many calls
 // An ejected upstream is tried ahead of its time with copies of calls that may be repeated: the first after
 // this, the next ones at twice the time after each that fails; it is back after so many served in a row.
 constexpr Duration kFirstTrial = milliseconds(1000);
@@ -69,14 +67,12 @@
 constexpr double kSlownessMemory = 10;
 constexpr double kKindPrior = 5;
 constexpr double kMaxSlowness = 3;
-constexpr double kSilence = 3;  // it holds calls and has answered nothing for this many usual times
-// So many failures in a row make a suspect, that is passed over while others stand.
-constexpr int kFailuresToSuspect = 2;
+constexpr double kSilence = 3;         // it holds calls and has answered nothing for this many usual times
+constexpr int kFailuresToSuspect = 2;  // in a row make a suspect, that is passed over while others stand
 constexpr double kLate = 3;  // a call that takes so many usual times gets a second copy, where it may
 // Further attempts after a failure and second copies are at most this share of first tries, saved up to a
 // burst.
-constexpr double kRetryBudget = 0.3;
-constexpr double kRetryBurst = 10;
+constexpr double kRetryBudget = 0.3, kRetryBurst = 10;
 constexpr std::size_t kFreeRepeats = 2;  // so many attempts after a proof that nothing ran are free of it
 // Where upstreams tell their load when probed, the next ones in turn are asked before a call, as many as this
 // share of the service pays for and at most kMostAsked; the call waits for this share of a connect time-out.
@@ -84,10 +80,8 @@
 constexpr double kMostAsked = 3;
 constexpr double kAskPatience = 0.1;
 constexpr std::size_t kAsksAtRisk = 2;  // where probes are dear: the pick and one to turn to
-// One that holds more than it serves in this share of the call's aim is jammed: times vary about twofold.
-constexpr double kHoldFor = 0.5;
-// How strongly an upstream's share of failures takes from its weight: errors come fast and attract calls.
-constexpr int kSuccessPower = 3;
+constexpr double kHoldFor = 0.5;        // it holds more than it serves in this share of the aim: jammed
+constexpr int kSuccessPower = 3;  // of the success share in a weight: errors come fast and attract calls
 // Overload shows as answers after their aim, time-outs and refusals as full from upstreams in good standing.
 // Above kTooManyLate of at least kLateSample outcomes (a quarter of them, where all of these are late) the
 // calls held at once are limited, to the less of what is held the more are late; below it the limit grows
@@ -182,6 +176,8 @@
     return std::max(kLeastSubset, usual_rate_ * Seconds(LateMemory()) / kFailuresToEject);
   }
 
+  double SubsetShare() const { return std::min(1.0, SubsetSize() / std::max(1.0, double(order_.size()))); }
+
   void Adopt(const UpstreamInfo& info, std::vector<UpstreamPtr>& entering) {
     UpstreamPtr& u = index_[info.id.value];
     const bool was_serving = u && u->info.state == UpstreamState::kServing;
@@ -191,7 +187,7 @@
       if (u) u->info.state = UpstreamState::kGone;
       u = std::make_shared<Upstream>();
       u->rank = Hash(info.id.value, settings_.self);
-      u->cold_budget = -Uniform();  // sidecars that hear of it together must not all call it at once
+      u->cold_budget = Uniform();  // sidecars that hear of it together: some call now, some a call later
       u->cold_refilled = now_;
     }
     u->info = info;
@@ -290,7 +286,7 @@
 
   // An upstream that enters or returns starts somewhere in its turn: no hoard of credit, and sidecars that
   // hear of it together do not all pick it next.
-  void Enter(Upstream& u) { u.credit = -Uniform() * ListedWeight(); }
+  void Enter(Upstream& u) { u.credit = -Uniform() * ListedWeight() * SubsetShare(); }
 
   double ListedWeight() const {
     double sum = 0;
@@ -499,7 +495,7 @@
   double Risk(const Upstream& u) const {
     const Fading all = all_late_.By(now_, LateMemory());
     const Fading own = u.late.By(now_, LateMemory());
-    return (own.sum + all.sum / std::max(1.0, all.samples)) / (own.samples + 1);
+    return (own.sum + Share(all)) / (own.samples + 1);
   }
 
   Duration LateMemory() const { return settings_.rules.cold_time / 2; }
@@ -811,8 +807,9 @@
   bool HasColdBudget(Upstream& u) {
     const double warmth = Warmth(u);
     if (warmth >= 1) return true;
-    const double usual =
-        std::max(usual_served_, usual_rate_ / 2) * u.info.weight / std::max(usual_weight_, u.info.weight);
+    // Of the subset's weight: the rest of the list gets nothing from this sidecar, only from others.
+    const double usual = std::max(usual_served_, usual_rate_ / 2) * u.info.weight /
+                         std::max(usual_weight_ * SubsetShare(), u.info.weight);
     const double rate = settings_.rules.fall_multiple * kColdSafety * warmth * usual;
     const double most = std::max(1.0, rate * Seconds(settings_.rules.fall_window) / 2);
     u.cold_budget = std::min(most, u.cold_budget + rate * Seconds(now_ - u.cold_refilled));
--- a/src/state.h
+++ b/src/state.h
@@ -52,6 +52,8 @@
   }
 };
 
+inline double Share(const Fading& f) { return f.sum / std::max(1.0, f.samples); }
+
 inline Duration TimeOr(const Mean& mean, Duration unknown) {
   return mean.value >= 1 ? Duration(static_cast<Duration::rep>(mean.value)) : unknown;
 }
@@ -132,9 +134,9 @@
   TimePoint deadline;
   TimePoint late_at;  // unanswered then, it is late against what is usual
   std::vector<Attempt> attempts;
-  std::vector<Asked> asked;  // while it waits for their reports
-  bool ended = false;        // it has its final answer: nothing more is sent for it
-  bool streaming = false;    // its answer has begun: it belongs to the client
+  std::vector<Asked> asked;   // while it waits for their reports
+  bool ended = false;         // it has its final answer: nothing more is sent for it
+  bool streaming = false;     // its answer has begun: it belongs to the client
 };
 
 inline bool AnyOut(const Request& r) {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -212,6 +212,38 @@
   EXPECT_GT(waits.size(), 90u);
 }
 
+// All sidecars together bring a fresh upstream what its present capacity can take, and not next to nothing:
+// each calls a few of the list, so the few that call it owe it more than their share of the whole list.
+TEST(ColdUpstreams, AFleetOfSubsetsLoadsThemByTheirCapacity) {
+  constexpr std::size_t kSidecars = 100;
+  std::vector<UpstreamInfo> list;
+  for (int i = 0; i < 60; ++i) list.push_back(Up("s" + std::to_string(i)));
+  double cold = 0, warm = 0;
+  for (std::size_t self = 0; self < kSidecars; ++self) {
+    Settings settings = DefaultSettings();
+    settings.balancers = kSidecars;
+    settings.self = self;
+    settings.rules.cold_time = 7400ms;
+    settings.rules.cold_from = 0.31;
+    World w(settings, 100 + self);
+    w.Full(list);
+    for (int i = 0; i < 150; ++i) w.Advance(57ms), w.Serve();
+    std::vector<UpstreamInfo> fresh = list;
+    for (int i = 0; i < 6; ++i) fresh[i].started = w.now;
+    w.Full(fresh);
+    for (int i = 0; i < 45; ++i) {  // 3 s
+      w.Advance(57ms);
+      const std::string taker = w.Serve();
+      const bool is_cold = std::any_of(fresh.begin(), fresh.begin() + 6,
+                                       [&](const UpstreamInfo& info) { return info.id.value == taker; });
+      (is_cold ? cold : warm) += 1;
+    }
+  }
+  const double share = (cold / 6) / (warm / 54);  // of a warm one's load
+  EXPECT_GT(share, 0.2);
+  EXPECT_LT(share, 0.31 * 2.5) << "the rule on fail-back";
+}
+
 // A crossing has its price: it is worth paying only for a call that would else be late.
 TEST(CrossingZones, CallsStayNearUntilThoseThereHoldTooMuch) {
   Settings settings = Reporting();
