Refuse clients' marked repeats at once while many answers are late

Seen: repeats of calls that were refused or late are a load of their own, and what they ask for can no longer be in time: the first try came an aim or more ago. Event field client_retry was read by nobody. Ruled out: refusing them always (while all is well one repeat is harmless).

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -596,6 +596,7 @@
     r.cls_index = cls;
     r.arrived = now_;
     r.deadline = e.deadline;
+    r.client_retry = e.client_retry;
     ++arrivals_;
     retry_budget_ = std::min(kRetryBurst, retry_budget_ + kRetryBudget);
     Wake(r, r.deadline);
@@ -627,11 +628,13 @@
     return true;
   }
 
+  // A client's repeat where many answers are late is late itself: its first try came an aim or more ago.
   // Another attempt where one helps and is allowed, else the final answer. Nothing to do while one is out.
   void Advance(Request& r) {
     if (r.ended || r.streaming || AnyOut(r) || !r.asked.empty()) return;
     const bool first = r.attempts.empty();
-    if (first && !Admit(r)) {
+    const bool behind = r.client_retry && Share(all_late_.By(now_, LateMemory())) > kTooManyLate;
+    if (first && (behind || !Admit(r))) {
       SayRefusing("overload, answers come late");
       return Finish(r);
     }
--- a/src/state.h
+++ b/src/state.h
@@ -135,6 +135,7 @@
   TimePoint late_at;  // unanswered then, it is late against what is usual
   std::vector<Attempt> attempts;
   std::vector<Asked> asked;   // while it waits for their reports
+  bool client_retry = false;  // its client tried before
   bool ended = false;         // it has its final answer: nothing more is sent for it
   bool streaming = false;     // its answer has begun: it belongs to the client
 };
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -244,6 +244,32 @@
   EXPECT_LT(share, 0.31 * 2.5) << "the rule on fail-back";
 }
 
+// A client repeats what was refused or came to nothing: where many answers are late, an aim or more ago.
+TEST(RefusedCalls, RepeatsAreRefusedAtOnceWhileManyAreLate) {
+  World w;
+  w.List(6);
+  const auto repeat = [&w] {
+    const std::size_t refused = w.refused.size();
+    RequestArrived e;
+    e.request = RequestId{1000 + refused + w.sent.size()};
+    e.request_class = kUnsafe;
+    e.deadline = w.now + 2s;
+    e.client_retry = true;
+    w.Do(e);
+    return w.refused.size() > refused;
+  };
+  for (int i = 0; i < 30; ++i) w.Serve(kUnsafe);
+  EXPECT_FALSE(repeat()) << "all is well";
+  for (int i = 0; i < 8; ++i) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    w.now += 350ms;  // of an aim of 400 ms
+    w.Answer(before);
+  }
+  EXPECT_TRUE(repeat());
+  EXPECT_NE(w.Serve(kUnsafe), "") << "first tries are taken";
+}
+
 // A crossing has its price: it is worth paying only for a call that would else be late.
 TEST(CrossingZones, CallsStayNearUntilThoseThereHoldTooMuch) {
   Settings settings = Reporting();
