Ask an overbooked discovery for changes only, and keep the version when it had no time

Checked: a log line for each call, summed over the fleet: 100 whole lists at 0 s, 100 watches refused at 0.07 s, then 18 to 75 calls a second, all answered 503 within 4 ms and each a whole list of 60 lines. At fault: Sidecar's first call asked for what LB_CONFIG's known list had told already; Failed() threw the version away where the service had only no time; the module's pause after a failure did not grow. An agent of one's own (pushed) is asked as before. Ruled out: the parser and the connection (no malformed list, no reset).

--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -136,7 +136,7 @@
       if (!response.keep_alive()) self->connected_ = false;
       self->stream_.expires_never();
       if (response.result() != http::status::ok) {
-        return self->owner_->Failed("status " + std::to_string(response.result_int()));
+        return self->owner_->Failed("status " + std::to_string(response.result_int()), true);
       }
       self->owner_->Answered(response.body());
     });
@@ -165,9 +165,12 @@
   if (call_) call_->Drop();
 }
 
-void Discovery::Ask() {
+// One service for all works through the calls in turn, and a whole list costs it work for each line: a fleet
+// that starts together asks for no more than what is newer than the list each has.
+void Discovery::Ask(std::optional<std::uint64_t> known) {
   if (running_) return;
   running_ = true;
+  if (on_request_ && known) revision_ = known;
   Start();
 }
 
@@ -207,6 +210,10 @@
   } catch (const std::exception& e) {
     return Failed(std::string("malformed list: ") + e.what());
   }
+  // Another service than the one that counted so far: what it holds may differ in more than the changes.
+  if (revision_ && list.revision < *revision_ && list.update.kind == MembershipUpdate::Kind::kChanges) {
+    return Failed("an older version than the one held");
+  }
   if (failures_ > 0) log_.Line("discovery answers again");
   failures_ = 0;
   revision_ = list.revision;
@@ -215,10 +222,11 @@
 }
 
 // The old list stands. What changed in between may be missed by a watch (an agent that started anew counts
-// from elsewhere): the next call asks for the whole list.
-void Discovery::Failed(const std::string& why) {
+// from elsewhere): the next call asks for the whole list. A service that says it has no time for the call is
+// the same as before, and a whole list would take it still more.
+void Discovery::Failed(const std::string& why, bool answered) {
   if (call_) std::exchange(call_, nullptr)->Drop();
-  revision_.reset();
+  if (!(on_request_ && answered)) revision_.reset();
   if (failures_++ == 0) log_.Line("discovery: " + why);
   if (on_request_) {
     running_ = false;
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -40,8 +40,9 @@
             Logger& log, OnList on_list, OnFailed on_failed);
   ~Discovery();
 
-  // Asks for the list now and watches it from then on. Nothing to do where that is under way.
-  void Ask();
+  // Asks for the list now and watches it from then on. Nothing to do where that is under way. `known` is the
+  // version of a list that is held already: where membership is told on request it is watched from there.
+  void Ask(std::optional<std::uint64_t> known = std::nullopt);
   // Changes over to another address at once: asks there for the whole list. The old list stands until then.
   void MoveTo(Endpoint endpoint);
 
@@ -51,7 +52,7 @@
   void Start();
   void StartIn(Duration wait);
   void Answered(const std::string& body);
-  void Failed(const std::string& why);
+  void Failed(const std::string& why, bool answered = false);
 
   boost::asio::io_context& io_;
   Endpoint endpoint_;
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -140,7 +140,9 @@
   for (std::size_t i = 0; i < settings_.tenants.size(); ++i) {
     tenants_.emplace(settings_.tenants[i].name, kestrellb::TenantId{i});
   }
-  Apply(Known(config.known, unix_clock_));
+  MembershipList known = Known(config.known, unix_clock_);
+  if (!config.known.is_null()) known_ = known.revision;
+  Apply(std::move(known));
   // Where membership is told on request, the module asks.
   if (!settings_.membership_on_request) discovery_.Ask();
 }
@@ -348,7 +350,7 @@
 
 void Sidecar::CarryOut(const kestrellb::CloseIdle& action) { upstreams_.CloseIdle(action.upstream.value); }
 
-void Sidecar::CarryOut(const kestrellb::Subscribe&) { discovery_.Ask(); }
+void Sidecar::CarryOut(const kestrellb::Subscribe&) { discovery_.Ask(std::exchange(known_, std::nullopt)); }
 
 void Sidecar::CarryOut(const kestrellb::Log& action) { log_.Line(action.text); }
 
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -85,6 +86,7 @@
   kestrellb::Balancer balancer_;
   Upstreams upstreams_;
   Discovery discovery_;
+  std::optional<std::uint64_t> known_;  // the version of the list it was started with, until that was used
   std::deque<kestrellb::Event> events_;
   bool delivering_ = false;
   std::unordered_map<kestrellb::RequestId, Pending> requests_;
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -58,9 +58,7 @@
 constexpr double kTrustGrowth = 1.02;
 // From here on connecting is hard: in sum half of the calls that connect take twice their time or fail.
 constexpr double kHardToConnect = 0.5;
-// An upstream that holds more unanswered calls than its share and this many is passed over while others
-// stand.
-constexpr double kCrowdSlack = 0.5;
+constexpr double kCrowdSlack = 0.5;  // one holding more than its share and this is passed over
 // Speeds are learnt over about kUsualMemory answers of a class or kind of machine, kSlownessMemory of an
 // upstream; its kind weighs more than its own until kKindPrior answers. kMaxSlowness bounds them.
 constexpr double kUsualMemory = 50;
@@ -109,6 +107,7 @@
  public:
   Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
     settings_.Validate();
+    ask_pause_ = settings_.rules.ask_within / 10;
     trusted_idle_ = settings_.limits.idle_close;
     if (settings_.load_by_probe && settings_.limits.probes) {
       ask_price_ = std::max(settings_.prices.probe, 1e-9);
@@ -139,10 +138,11 @@
   void On(const MembershipUpdate& update) {
     if (update.kind == MembershipUpdate::Kind::kFailed) {
       // Not at once, that would add to what made it fail; well inside `ask_within` the list still holds.
-      if (settings_.membership_on_request)
-        ask_again_at_ = now_ + Scaled(settings_.rules.ask_within, 0.1 + 0.1 * Uniform());
+      if (settings_.membership_on_request) ask_again_at_ = now_ + Scaled(ask_pause_, 1 + Uniform());
+      ask_pause_ = std::min(2 * ask_pause_, settings_.rules.ask_within / 4);
       return;
     }
+    if (update.kind != MembershipUpdate::Kind::kRestored) ask_pause_ = settings_.rules.ask_within / 10;
     // What a whole list leaves out is gone.
     for (const UpstreamPtr& u : order_) u->listed = update.kind == MembershipUpdate::Kind::kChanges;
     std::vector<UpstreamPtr> entering;
@@ -890,6 +890,7 @@
   std::unordered_map<std::uint64_t, RequestId> timers_;  // looked up, never walked
   std::uint64_t last_token_ = kHousekeepingToken;
   std::optional<TimePoint> ask_again_at_;
+  Duration ask_pause_{};  // grows from failure to failure; up to twice that is waited
   bool refusing_ = false;
   TimePoint refused_at_;
   static constexpr double kNoLimit = 1e9;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -373,6 +373,29 @@
   EXPECT_GT(w.Spread(10)["a"], 0) << "the old list holds";
 }
 
+// A service that is overbooked for a hundred is not won by asking on at the same pace.
+TEST(Discovery, PausesGrowFromFailureToFailureAndEndWithAList) {
+  Settings s = DefaultSettings();
+  s.membership_on_request = true;
+  World w(s, 11);
+  w.List(2);
+  const auto pause = [&w] {
+    const int subscribed = w.subscribed;
+    const TimePoint failed = w.now;
+    w.Do(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}});
+    while (w.subscribed == subscribed && w.now < failed + 60s) w.Advance(50ms);
+    return w.now - failed;
+  };
+  const Duration first = pause();
+  pause();
+  Duration third = pause();
+  EXPECT_GT(third, first);
+  for (int i = 0; i < 20; ++i) third = std::max(third, pause());
+  EXPECT_LT(third, s.rules.ask_within);
+  w.Full({Up("a"), Up("b")});
+  EXPECT_LT(pause(), s.rules.ask_within / 4);
+}
+
 TEST(Settings, ThoseThatMakeNoSenseAreNamed) {
   const auto named = [](auto change, const std::string& name) {
     Settings s = DefaultSettings();
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -816,6 +816,55 @@
   EXPECT_EQ(agent.requests().front().target(), "/discovery/hosts");
 }
 
+// One service for a whole fleet: whole lists and calls in vain are what overbooks it.
+TEST(Membership, OneServiceForAllIsAskedForChangesOnlyAlsoAfterItHadNoTime) {
+  Upstream a(Upstream::Echo("a"));
+  Upstream b(Upstream::Echo("b"));
+  std::atomic<int> calls{0};
+  const std::string body =
+      json{{"rev", 7}, {"all", false}, {"targets", List({Target("u2", b.address())})}}.dump();
+  Upstream service([&](Wire& wire, const Request&, int) {
+    if (++calls <= 2) return wire.Answer(503, "");
+    return wire.Answer(200, body);
+  });
+  json settings = Settings();
+  settings["MembershipMode"] = "on_request";
+  settings["Rules"]["MustAskIn"] = 1000000;
+  Node::Options options = With(List({Target("u1", a.address())}), settings);
+  options.discovery = service.address();
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  EXPECT_TRUE(BecomesServedBy(node, "a /page/k"));
+  EXPECT_TRUE(BecomesServedBy(node, "b /page/k")) << "the change came";
+  ASSERT_TRUE(Eventually([&] { return service.requests().size() > 3; }));
+  const auto requests = service.requests();
+  for (std::size_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(std::string(requests[i].target()).find("/discovery/hosts?index=0&"), 0u)
+        << requests[i].target();
+  }
+  EXPECT_EQ(std::string(requests[3].target()).find("/discovery/hosts?index=7&"), 0u);
+}
+
+// What was counted elsewhere is no base for changes.
+TEST(Membership, AnOlderVersionThanTheOneHeldLeadsToTheWholeList) {
+  Upstream a(Upstream::Echo("a"));
+  std::atomic<int> whole{0};
+  const json list = List({Target("u1", a.address())});
+  Upstream agent([&](Wire& wire, const Request& request, int) {
+    const bool watch = std::string(request.target()).find("index=") != std::string::npos;
+    whole += !watch;
+    wire.Answer(
+        200,
+        json{{"rev", watch ? 3 : 41}, {"all", !watch}, {"targets", watch ? json::array() : list}}.dump());
+  });
+  Node::Options options = With(nullptr);
+  options.discovery = agent.address();
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  EXPECT_TRUE(Eventually([&] { return whole >= 3; }));
+  EXPECT_TRUE(BecomesServedBy(node, "a /page/k"));
+}
+
 // ---- Configuration read again ----
 
 std::string FollowingTo(const Node& node, const std::string& discovery) {
