Weigh the price of a crossing in the rotation where nobody is asked for its load

At fault: only Decide() knew of zones, and it decides only between upstreams that were asked; where probes are dear most calls are not. Now the next near one in turn takes the call unless its share of late answers exceeds the far one's by half of what the crossing costs; all of it would fill the near ones up to where a crossing gains nothing.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -36,8 +36,7 @@
 constexpr Duration kBaseEjection = seconds(60);
 constexpr int kEjectionMultiplier = 2;
 constexpr Duration kMaxEjection = seconds(120);
-// Housekeeping (returns, budgets, asking for membership) is not urgent: decisions look at the clock.
-constexpr Duration kHousekeeping = milliseconds(250);
+constexpr Duration kHousekeeping = milliseconds(250);  // not urgent: decisions look at the clock
 constexpr std::uint64_t kHousekeepingToken = 0;
 constexpr double kColdSafety = 0.5;  // of what would topple a cold one, going by its peers' load
 // Load is not sickness: where more than this share of the calls to the other upstreams fail, the run must be
@@ -46,8 +45,7 @@
 constexpr double kOutcomeMemory = 20;  // an upstream's share of failures follows about so many calls
 // An ejected upstream is tried ahead of its time with copies of calls that may be repeated: the first after
 // this, the next ones at twice the time after each that fails; it is back after so many served in a row.
-constexpr Duration kFirstTrial = milliseconds(1000);
-constexpr Duration kMaxTrial = milliseconds(8000);
+constexpr Duration kFirstTrial = milliseconds(1000), kMaxTrial = milliseconds(8000);
 constexpr int kTrialsToReturn = 2;
 // Subsetting: over kLeastSubset upstreams at least, and over all until its rate has been seen for kRateKnown.
 constexpr double kLeastSubset = 3;
@@ -56,15 +54,13 @@
 // growing by this factor each housekeeping (twice in some ten seconds).
 constexpr Duration kLeastTrust = milliseconds(100);
 constexpr double kTrustGrowth = 1.02;
-// From here on connecting is hard: in sum half of the calls that connect take twice their time or fail.
-constexpr double kHardToConnect = 0.5;
-constexpr double kCrowdSlack = 0.5;  // one holding more than its share and this is passed over
+constexpr double kHardToConnect = 0.5;  // half of the calls that connect take twice their time or fail
+constexpr double kCrowdSlack = 0.5;     // one holding more than its share and this is passed over
 // Speeds are learnt over about kUsualMemory answers of a class or kind of machine, kSlownessMemory of an
 // upstream; its kind weighs more than its own until kKindPrior answers. kMaxSlowness bounds them.
 constexpr double kUsualMemory = 50;
 constexpr double kSlownessMemory = 10;
-constexpr double kKindPrior = 5;
-constexpr double kMaxSlowness = 3;
+constexpr double kKindPrior = 5, kMaxSlowness = 3;
 constexpr double kSilence = 3;         // it holds calls and has answered nothing for this many usual times
 constexpr int kFailuresToSuspect = 2;  // in a row make a suspect, that is passed over while others stand
 constexpr double kLate = 3;  // a call that takes so many usual times gets a second copy, where it may
@@ -78,8 +74,9 @@
 constexpr double kMostAsked = 3;
 constexpr double kAskPatience = 0.1;
 constexpr std::size_t kAsksAtRisk = 2;  // where probes are dear: the pick and one to turn to
-constexpr double kHoldFor = 0.5;        // it holds more than it serves in this share of the aim: jammed
-constexpr int kSuccessPower = 3;  // of the success share in a weight: errors come fast and attract calls
+constexpr double kCrossingGain = 0.5;  // of a crossing's price: near ones must not fill up to the whole of it
+constexpr double kHoldFor = 0.5;       // it holds more than it serves in this share of the aim: jammed
+constexpr int kSuccessPower = 3;       // of the success share in a weight: errors come fast and attract calls
 // Overload shows as answers after their aim, time-outs and refusals as full from upstreams in good standing.
 // Above kTooManyLate of at least kLateSample outcomes (a quarter of them, where all of these are late) the
 // calls held at once are limited, to the less of what is held the more are late; below it the limit grows
@@ -98,8 +95,7 @@
 constexpr double kSheddingFrom = 0.7;
 constexpr double kClassFloor = 0.4;
 constexpr Duration kSpell = seconds(2);  // refusing is over when none was refused for this long
-// Clients that are told to come back do so after the settings' longest wait, spread over this share of it.
-constexpr double kRetrySpread = 0.1;
+constexpr double kRetrySpread = 0.1;     // of the longest Retry-After: not all come back in step
 
 }  // namespace
 
@@ -465,8 +461,13 @@
   }
 
   bool Send(Request& r) {
-    const UpstreamPtr pick = Pick(r);
+    UpstreamPtr pick = Pick(r);
     if (!pick) return false;
+    // A crossing's price has to be earned by a call less likely late. A far one hardly met is taken to be
+    // good.
+    const bool weigh = asks_ == 1 && settings_.prices.cross_zone > 0 && !Near(*pick);
+    const UpstreamPtr near = weigh ? Pick(r, true, true) : nullptr;
+    if (near && Risk(*near) < Risk(*pick, 0) + settings_.prices.cross_zone * kCrossingGain) pick = near;
     r.asked = {{pick}};
     const std::size_t asks = asks_ == 1 && Risk(*pick) > ask_price_ ? kAsksAtRisk : asks_;
     while (r.asked.size() < asks) {
@@ -492,10 +493,10 @@
 
   // How likely a call to it is late, by what this sidecar saw of it lately and, as far as that is little, of
   // all. Where probes are dear only what costs more than one is asked for its load.
-  double Risk(const Upstream& u) const {
+  double Risk(const Upstream& u, double others = 1) const {
     const Fading all = all_late_.By(now_, LateMemory());
     const Fading own = u.late.By(now_, LateMemory());
-    return (own.sum + Share(all)) / (own.samples + 1);
+    return (own.sum + others * Share(all)) / (own.samples + 1);
   }
 
   Duration LateMemory() const { return settings_.rules.cold_time / 2; }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -298,6 +298,32 @@
   EXPECT_GT(near_busy, 10);
 }
 
+// Where nobody is asked for its load the rotation itself has to know what a crossing costs.
+TEST(CrossingZones, WithoutReportsCallsStayNearUntilThoseThereAnswerLate) {
+  Settings settings = DefaultSettings();
+  settings.prices.cross_zone = 0.1;
+  World w(settings);
+  std::vector<UpstreamInfo> list;
+  for (const char id : {'a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'}) {
+    list.push_back(Up(std::string(1, id)));
+    if (id > 'c') list.back().zone = "there";
+  }
+  w.Full(list);
+  const auto crossed = [&w](Duration near_takes) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    const bool far = w.sent[before].upstream > "c";
+    w.now += far ? Duration(40ms) : near_takes;  // the aim is 400 ms
+    w.Answer(before);
+    return far;
+  };
+  int near_well = 0, near_late = 0;
+  for (int i = 0; i < 40; ++i) near_well += crossed(40ms);
+  for (int i = 0; i < 40; ++i) near_late += crossed(350ms);
+  EXPECT_EQ(near_well, 0);
+  EXPECT_GT(near_late, 10);
+}
+
 TEST(OtherSidecarsQueues, ASilentProbeHoldsACallForAMomentAndIsAFailure) {
   World w(Reporting());
   w.List(6);
