--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -86,8 +86,7 @@
 // An upstream under load answers the rest slowly too: a time-out tells of load only where its answers take
 // this share of their aims in the mean. Guards against refusing for one that swallows some calls.
 constexpr double kLoadedShare = 0.35;
-constexpr double kLateSample = 20;
-constexpr double kLimitCut = 0.6;
+constexpr double kLateSample = 20, kLimitCut = 0.6;
 constexpr double kLimitGrowth = 0.05;
 constexpr double kLeastLimit = 0.5;  // of a call, taken by chance: in sum it still sheds
 // Near the limit the classes with less worth for their time are refused first, from this share of it on, but
