--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -141,7 +141,8 @@
     tenants_.emplace(settings_.tenants[i].name, kestrellb::TenantId{i});
   }
   MembershipList known = Known(config.known, unix_clock_);
-  if (!config.known.is_null()) known_ = known.revision;
+  // Where nothing was known there is nothing to change: the whole list is needed.
+  if (!known.locations.empty()) known_ = known.revision;
   Apply(std::move(known));
   // Where membership is told on request, the module asks.
   if (!settings_.membership_on_request) discovery_.Ask();
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -171,7 +171,7 @@
     return std::max(kLeastSubset, usual_rate_ * Seconds(LateMemory()) / kFailuresToEject);
   }
 
-  double SubsetShare() const { return std::min(1.0, SubsetSize() / std::max(1.0, double(order_.size()))); }
+  double SubsetShare() const { return std::min(1.0, SubsetSize() / std::max<double>(1, order_.size())); }
 
   void Adopt(const UpstreamInfo& info, std::vector<UpstreamPtr>& entering) {
     UpstreamPtr& u = index_[info.id.value];
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -845,6 +845,22 @@
   EXPECT_EQ(std::string(requests[3].target()).find("/discovery/hosts?index=7&"), 0u);
 }
 
+TEST(Membership, OneServiceForAllIsAskedForTheWholeListWhereNothingIsKnown) {
+  Upstream a(Upstream::Echo("a"));
+  Discovery discovery(List({Target("u1", a.address())}));
+  json settings = Settings();
+  settings["MembershipMode"] = "on_request";
+  for (const json& known : {json(nullptr), json::array()}) {
+    const int lists = discovery.lists();
+    Node::Options options = With(known, settings);
+    options.discovery = discovery.address();
+    Node node(options);
+    ASSERT_TRUE(node.Listening());
+    EXPECT_TRUE(BecomesServedBy(node, "a /page/k"));
+    EXPECT_GT(discovery.lists(), lists);
+  }
+}
+
 // What was counted elsewhere is no base for changes.
 TEST(Membership, AnOlderVersionThanTheOneHeldLeadsToTheWholeList) {
   Upstream a(Upstream::Echo("a"));
