Make one list of two zones serve both crossing tests, and end a shadowed name

Read over: the two tests built the same list; Send() used the name near for an upstream and, further in, for a flag.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -471,8 +471,8 @@
     const std::size_t asks = asks_ == 1 && Risk(*pick) > ask_price_ ? kAsksAtRisk : asks_;
     while (r.asked.size() < asks) {
       // Where crossing zones has its price the next one is near; a third anywhere, as near ones jam together.
-      const bool near = settings_.prices.cross_zone > 0 && r.asked.size() == 1;
-      UpstreamPtr next = near ? Pick(r, true, true) : nullptr;
+      const bool second = settings_.prices.cross_zone > 0 && r.asked.size() == 1;
+      UpstreamPtr next = second ? Pick(r, true, true) : nullptr;
       if (!next || Tried(r, *next)) next = Pick(r);
       if (!next || Tried(r, *next)) break;  // there is no other
       r.asked.push_back({next});
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -270,17 +270,22 @@
   EXPECT_NE(w.Serve(kUnsafe), "") << "first tries are taken";
 }
 
-// A crossing has its price: it is worth paying only for a call that would else be late.
-TEST(CrossingZones, CallsStayNearUntilThoseThereHoldTooMuch) {
-  Settings settings = Reporting();
-  settings.prices.cross_zone = 0.1;
-  World w(settings);
+// "a" to "c" are here, the rest is there.
+std::vector<UpstreamInfo> TwoZones() {
   std::vector<UpstreamInfo> list;
   for (const char id : {'a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'}) {
     list.push_back(Up(std::string(1, id)));
     if (id > 'c') list.back().zone = "there";
   }
-  w.Full(list);
+  return list;
+}
+
+// A crossing has its price: it is worth paying only for a call that would else be late.
+TEST(CrossingZones, CallsStayNearUntilThoseThereHoldTooMuch) {
+  Settings settings = Reporting();
+  settings.prices.cross_zone = 0.1;
+  World w(settings);
+  w.Full(TwoZones());
   const auto crossed = [&w](double held_here) {
     w.probed.clear();
     const std::size_t before = w.sent.size();
@@ -303,12 +308,7 @@
   Settings settings = DefaultSettings();
   settings.prices.cross_zone = 0.1;
   World w(settings);
-  std::vector<UpstreamInfo> list;
-  for (const char id : {'a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'}) {
-    list.push_back(Up(std::string(1, id)));
-    if (id > 'c') list.back().zone = "there";
-  }
-  w.Full(list);
+  w.Full(TwoZones());
   const auto crossed = [&w](Duration near_takes) {
     const std::size_t before = w.sent.size();
     w.Arrive(kUnsafe);
