Add the operators' door: readiness, upstreams taken out, clients sent away

The ban is an event of the module (OperatorsWord); lists come late, so one put back counts as started just then.

--- a/include/kestrellb/balancer.h
+++ b/include/kestrellb/balancer.h
@@ -217,8 +217,13 @@
   LoadReport load;
 };
 
+struct OperatorsWord {  // counts whatever the list says, until the next word; also for one not listed now
+  UpstreamId upstream;
+  bool out = true;  // taken out: it is sent nothing new
+};
+
 using Event = std::variant<MembershipUpdate, RequestArrived, AnswerStarted, AttemptEnded, RequestGone,
-                           TimerFired, ProbeEnded>;
+                           TimerFired, ProbeEnded, OperatorsWord>;
 
 // ---- Actions ----
 
--- /dev/null
+++ b/node/admin.h
@@ -0,0 +1,48 @@
+// The operators' door: takes one call a connection, has it answered, and closes. What a call means is said
+// elsewhere.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "config.h"
+#include "http.h"
+#include "log.h"
+
+namespace mothrack {
+
+class Admin {
+ public:
+  // The descriptors it needs at most: its own and those of callers.
+  static constexpr std::size_t kMostCallers = 11;
+  static constexpr std::size_t kDescriptors = kMostCallers + 1;
+
+  // Answers one call at once.
+  using OnCall = std::function<HttpResponse(http::verb method, const std::string& target)>;
+
+  // Binds and listens; throws boost::system::system_error.
+  Admin(boost::asio::io_context& io, const Endpoint& endpoint, Logger& log, OnCall on_call);
+  ~Admin();
+
+  Endpoint local() const { return acceptor_.local_endpoint(); }
+
+ private:
+  class Caller;
+
+  void Accept();
+
+  boost::asio::io_context& io_;
+  Logger& log_;
+  const OnCall on_call_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  std::list<std::shared_ptr<Caller>> callers_;  // the oldest first
+};
+
+}  // namespace mothrack
--- a/node/config.cpp
+++ b/node/config.cpp
@@ -67,6 +67,17 @@
   return sockets;
 }
 
+// The environment first: each process of an upgrade has an address of its own there.
+std::optional<Endpoint> Admin(const std::function<const char*(const char*)>& variable, const json& file) {
+  if (const char* text = variable("LB_ADMIN"); text != nullptr && *text != '\0') {
+    return Address("LB_ADMIN", text);
+  }
+  const auto field = file.find("admin");
+  if (field == file.end() || field->is_null()) return std::nullopt;
+  if (!field->is_string()) throw ConfigError("LB_CONFIG: admin is no text");
+  return Address("LB_CONFIG: admin", field->get<std::string>());
+}
+
 kestrellb::Settings ReadSettings(const json& file) {
   try {
     auto settings = kestrellb::wire::ParseSettings(Field(file, "", "settings"));
@@ -105,6 +116,10 @@
   const json file = json::parse(stream, nullptr, false);
   if (!file.is_object()) throw ConfigError("LB_CONFIG: " + path + " holds no JSON object");
   config.seed = Seed(file);
+  config.admin = Admin(variable, file);
+  if (const char* folder = variable("TMPDIR"); config.admin && folder != nullptr && *folder != '\0') {
+    config.keep = std::string(folder) + "/mothrack";
+  }
   config.sockets = Sockets(file);
   config.settings = ReadSettings(file);
   // The file can be replaced while the process runs, its environment can't: what the file says is newer.
--- a/node/config.h
+++ b/node/config.h
@@ -26,6 +26,8 @@
   std::string name;
   Endpoint listen;
   Endpoint discovery;
+  std::optional<Endpoint> admin;  // the operators' door, where there is one
+  std::string keep;               // where what survives an upgrade is kept; empty: nowhere
   std::uint64_t seed = 0;
   std::size_t sockets = 0;
   nlohmann::json known;  // the list of upstreams as last held, in discovery's form; null where there is none
--- a/node/descriptors.h
+++ b/node/descriptors.h
@@ -11,7 +11,9 @@
   // next connection, with some left over.
   static constexpr std::size_t kFixed = 16;
 
-  explicit Descriptors(std::size_t limit) : limit_(limit > kFixed ? limit - kFixed : 1) {}
+  // `fixed`: what is always open in this process.
+  explicit Descriptors(std::size_t limit, std::size_t fixed = kFixed)
+      : limit_(limit > fixed ? limit - fixed : 1) {}
 
   enum class Side { kClient, kUpstream };
 
--- a/node/http.cpp
+++ b/node/http.cpp
@@ -50,6 +50,13 @@
   return nullptr;
 }
 
+HttpResponse PlainResponse(http::status status, const std::string& text) {
+  HttpResponse response(status, 11);
+  response.set(http::field::content_type, "text/plain");
+  response.body() = text + "\n";
+  return response;
+}
+
 void RemoveHopByHop(http::fields& fields) {
   std::vector<std::string> named;
   const auto range = fields.equal_range(http::field::connection);
--- a/node/http.h
+++ b/node/http.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace mothrack {
 
@@ -30,6 +31,9 @@
 // the next. Names what is wrong with it; null where nothing is.
 const char* FramingFault(const http::request_header<>& header);
 
+// An answer of the sidecar's own: one line of text.
+HttpResponse PlainResponse(http::status status, const std::string& text);
+
 // Takes away what speaks of one connection only and must not be passed on.
 void RemoveHopByHop(http::fields& fields);
 
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -42,13 +42,6 @@
 constexpr Duration kFreshConnection = milliseconds(300);
 constexpr Duration kAcceptPause = milliseconds(20);
 
-HttpResponse Plain(http::status status, const std::string& text) {
-  HttpResponse response(status, 11);
-  response.set(http::field::content_type, "text/plain");
-  response.body() = text + "\n";
-  return response;
-}
-
 }  // namespace
 
 // One client connection. A read is always pending while there is room, also while a request is being served:
@@ -197,7 +190,7 @@
   // request.
   void Reject(http::status status, const std::string& why) {
     close_after_ = true;
-    Answer(Plain(status, why));
+    Answer(PlainResponse(status, why));
   }
 
   // A client that asked whether to go on waits for this before it sends the body.
@@ -222,9 +215,8 @@
     const auto target = request.target();
     state_ = State::kServing;
     if (target == "/up" && request.method() == http::verb::get) {
-      const bool draining = owner_->drained_ != nullptr;
-      return Answer(draining ? Plain(http::status::service_unavailable, "draining")
-                             : Plain(http::status::ok, "up"));
+      return Answer(owner_->Leaving() ? PlainResponse(http::status::service_unavailable, "draining")
+                                      : PlainResponse(http::status::ok, "up"));
     }
     auto reply = [self = shared_from_this()](HttpResponse response) {
       self->gone_ = nullptr;
@@ -238,7 +230,7 @@
     state_ = State::kWriting;
     since_ = Now();
     // The one who finds a request unfit asks for the close by the answer.
-    if (!response.keep_alive() || (owner_ != nullptr && owner_->drained_)) close_after_ = true;
+    if (!response.keep_alive() || (owner_ != nullptr && owner_->Leaving())) close_after_ = true;
     response_ = std::move(response);
     response_.version(version_);
     response_.keep_alive(!close_after_);
@@ -378,6 +370,13 @@
   }
 }
 
+void Listener::SendAway(bool away) {
+  if (std::exchange(away_, away) == away) return;
+  sweep_.cancel();
+  Sweep();
+  ScheduleSweep();
+}
+
 void Listener::Drain(std::function<void()> done) {
   if (drained_) return;
   drained_ = std::move(done);
@@ -388,7 +387,7 @@
 }
 
 void Listener::ScheduleSweep() {
-  sweep_.expires_after(drained_ ? kDrainSweep : kSweep);
+  sweep_.expires_after(Leaving() ? kDrainSweep : kSweep);
   sweep_.async_wait([this](error_code error) {
     if (error) return;
     Sweep();
@@ -401,7 +400,7 @@
   const TimePoint now = Now();
   const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
   for (const auto& connection : all) {
-    if (drained_ && !connection->Fresh(now) && connection->SparesClose()) connection->Close();
+    if (Leaving() && !connection->Fresh(now) && connection->SparesClose()) connection->Close();
     connection->CloseIfOverdue(now);
   }
   if (drained_ && acceptor_.is_open() && now - drain_started_ > kAcceptWhileDraining) CloseAcceptor();
--- a/node/listener.h
+++ b/node/listener.h
@@ -31,6 +31,9 @@
 
   Endpoint local() const { return acceptor_.local_endpoint(); }
 
+  // Sends clients away, or takes them again: `/up` says no, answers close their connections and idle ones are
+  // closed, but whoever comes all the same is served.
+  void SendAway(bool away);
   // A planned stop: serves what still comes for a while, tells each client to close, then calls `done`.
   void Drain(std::function<void()> done);
 
@@ -45,6 +48,7 @@
   void ScheduleSweep();
   void Sweep();
   void CloseAcceptor();
+  bool Leaving() const { return away_ || drained_; }
 
   boost::asio::io_context& io_;
   Descriptors& descriptors_;
@@ -54,6 +58,7 @@
   boost::asio::steady_timer pause_;
   boost::asio::steady_timer sweep_;
   std::set<std::shared_ptr<Connection>> connections_;
+  bool away_ = false;
   std::function<void()> drained_;  // set while draining
   TimePoint drain_started_;
 };
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -41,6 +41,9 @@
     mothrack::Sidecar sidecar(io, config);
     ReloadOnSignal(reload, sidecar);
     std::cerr << config.name << ": listening on " << sidecar.local() << std::endl;
+    if (const auto admin = sidecar.admin()) {
+      std::cerr << config.name << ": operators at " << *admin << std::endl;
+    }
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& error, int) {
       if (!error) sidecar.Drain([&io] { io.stop(); });
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstdio>
 #include <optional>
+#include <sstream>
 #include <stdexcept>
 #include <variant>
 
@@ -28,17 +29,13 @@
 constexpr std::size_t kMostEndedIds = 8192;
 // A client that says it waits longer than this many of its class's deadlines has no idea what it says.
 constexpr int kMostDeadlines = 2;
-
-HttpResponse Plain(http::status status, const std::string& text) {
-  HttpResponse response(status, 11);
-  response.set(http::field::content_type, "text/plain");
-  response.body() = text + "\n";
-  return response;
-}
+// So long the list as last held is not good enough to be called ready: discovery answers at once unless it is
+// down.
+constexpr Duration kListPatience = std::chrono::seconds(2);
 
 // For what is no request of this protocol: its connection is closed, too.
 HttpResponse Unfit(const std::string& why) {
-  auto response = Plain(http::status::bad_request, why);
+  auto response = PlainResponse(http::status::bad_request, why);
   response.keep_alive(false);
   return response;
 }
@@ -121,12 +118,15 @@
 Sidecar::Sidecar(boost::asio::io_context& io, const Config& config)
     : settings_(config.settings),
       log_(config.name),
-      descriptors_(config.sockets),
+      descriptors_(config.sockets, Descriptors::kFixed + (config.admin ? Admin::kDescriptors : 0)),
       balancer_(config.settings, config.seed),
       upstreams_(io, config.settings.limits, config.settings.load_by_probe, descriptors_),
       discovery_(
           io, config.discovery, config.settings.membership_on_request, unix_clock_, log_,
-          [this](MembershipList list) { Apply(std::move(list)); },
+          [this](MembershipList list) {
+            list_told_ = true;
+            Apply(std::move(list));
+          },
           [this] {
             Deliver(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}});
           }),
@@ -146,6 +146,21 @@
   Apply(std::move(known));
   // Where membership is told on request, the module asks.
   if (!settings_.membership_on_request) discovery_.Ask();
+  if (!config.admin) return;
+  kept_.emplace(io, config.keep, log_, [this](const Words& words) { Follow(words); });
+  try {
+    admin_.emplace(io, *config.admin, log_,
+                   [this](http::verb method, const std::string& target) { return Operate(method, target); });
+  } catch (const boost::system::system_error& e) {
+    std::ostringstream text;
+    text << "LB_ADMIN " << *config.admin << ": " << e.what();
+    throw ConfigError(text.str());
+  }
+}
+
+void Sidecar::Drain(std::function<void()> done) {
+  stopping_ = true;
+  listener_.Drain(std::move(done));
 }
 
 void Sidecar::Reconfigure(const Config& config) {
@@ -154,6 +169,61 @@
   discovery_.MoveTo(config.discovery);
 }
 
+HttpResponse Sidecar::Operate(http::verb method, const std::string& target) {
+  static const std::string kDisable = "/upstreams/disable/", kEnable = "/upstreams/enable/";
+  const bool out = target.starts_with(kDisable);
+  const bool back = target.starts_with(kEnable);
+  const bool asks = target == "/ready";
+  if (!asks && !out && !back && target != "/drain" && target != "/undrain") {
+    return PlainResponse(http::status::not_found, "no such call");
+  }
+  if (method != (asks ? http::verb::get : http::verb::post)) {
+    auto response = PlainResponse(http::status::method_not_allowed, asks ? "GET only" : "POST only");
+    response.set(http::field::allow, asks ? "GET" : "POST");
+    return response;
+  }
+  if (asks) return Ready();
+  if (out || back) return TakeOut(target.substr(out ? kDisable.size() : kEnable.size()), out);
+  kept_->Drain(target == "/drain");
+  return PlainResponse(http::status::ok,
+                       kept_->words().drained ? "clients are sent away" : "clients are taken");
+}
+
+// One that has left the list can still be put back.
+HttpResponse Sidecar::TakeOut(const std::string& upstream, bool out) {
+  if (!upstreams_.Knows(upstream) && !out_.contains(upstream)) {
+    return PlainResponse(http::status::not_found, "no such upstream");
+  }
+  kept_->TakeOut(upstream, out);
+  return PlainResponse(http::status::ok, upstream + (out ? " is out" : " is back"));
+}
+
+HttpResponse Sidecar::Ready() const {
+  const char* why = nullptr;
+  if (upstreams_.Known().empty()) why = "no upstream is known";
+  if (!list_told_ && Now() - started_ < kListPatience) why = "waiting for discovery";
+  if (kept_->words().drained) why = "drained";
+  if (stopping_) why = "stopping";
+  return why ? PlainResponse(http::status::service_unavailable, std::string("not ready: ") + why)
+             : PlainResponse(http::status::ok, "ready");
+}
+
+void Sidecar::Follow(const Words& words) {
+  const auto say = [this](const std::string& upstream, bool out) {
+    log_.Line(upstream + (out ? " is taken out" : " is put back") + " by the operators");
+    const Busy busy(delivering_);
+    events_.push_back(kestrellb::OperatorsWord{{upstream}, out});
+    upstreams_.TakeOut(upstream, out);
+  };
+  const std::set<std::string> before = std::exchange(out_, words.out);
+  for (const auto& upstream : out_)
+    if (!before.contains(upstream)) say(upstream, true);
+  for (const auto& upstream : before)
+    if (!out_.contains(upstream)) say(upstream, false);
+  if (!delivering_) Pump();
+  listener_.SendAway(words.drained);
+}
+
 // handle() is never re-entered: an action that ends something at once queues its event here.
 void Sidecar::Deliver(kestrellb::Event event) {
   events_.push_back(std::move(event));
@@ -321,7 +391,7 @@
 void Sidecar::CarryOut(const kestrellb::Refuse& action) {
   const auto it = requests_.find(action.request);
   if (it == requests_.end()) return;
-  auto response = Plain(http::status::service_unavailable, "refused: trying again is harmless");
+  auto response = PlainResponse(http::status::service_unavailable, "refused: trying again is harmless");
   if (action.retry_after > Duration::zero()) {
     char seconds[32];
     std::snprintf(seconds, sizeof seconds, "%.3f", std::chrono::duration<double>(action.retry_after).count());
@@ -335,8 +405,8 @@
   const auto it = requests_.find(action.request);
   if (it == requests_.end()) return;
   const bool late = Now() >= it->second.deadline;
-  Answer(it->second, late ? Plain(http::status::gateway_timeout, "no answer in time")
-                          : Plain(http::status::bad_gateway, "upstream failed"));
+  Answer(it->second, late ? PlainResponse(http::status::gateway_timeout, "no answer in time")
+                          : PlainResponse(http::status::bad_gateway, "upstream failed"));
   ForgetIfDone(action.request);
 }
 
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -17,10 +17,12 @@
 #include <utility>
 #include <vector>
 
+#include "admin.h"
 #include "clock.h"
 #include "config.h"
 #include "descriptors.h"
 #include "discovery.h"
+#include "kept.h"
 #include "kestrellb/balancer.h"
 #include "listener.h"
 #include "log.h"
@@ -33,9 +35,10 @@
   // Starts at once: binds, hands the module the known list and asks discovery. Throws where it cannot.
   Sidecar(boost::asio::io_context& io, const Config& config);
 
+  std::optional<Endpoint> admin() const { return admin_ ? std::optional(admin_->local()) : std::nullopt; }
   Endpoint local() const { return listener_.local(); }
   // A planned stop; `done` is called when all that was taken is answered.
-  void Drain(std::function<void()> done) { listener_.Drain(std::move(done)); }
+  void Drain(std::function<void()> done);
   // The configuration was replaced: follows its `discovery`. The rest counts from the next start on.
   // Throws ConfigError, and changes nothing then.
   void Reconfigure(const Config& config);
@@ -64,6 +67,11 @@
   void ForgetOldIds(TimePoint now);
   void ForgetIfDone(kestrellb::RequestId id);
   void ArmTimer();
+  // What operators say, and what they are told.
+  HttpResponse Operate(http::verb method, const std::string& target);
+  HttpResponse TakeOut(const std::string& upstream, bool out);
+  HttpResponse Ready() const;
+  void Follow(const Words& words);
 
   void CarryOut(const kestrellb::SendAttempt& action);
   void CarryOut(const kestrellb::CancelAttempt& action);
@@ -98,7 +106,13 @@
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   boost::asio::steady_timer timer_;
   TimePoint armed_for_ = TimePoint::max();
-  Listener listener_;  // last: it takes requests from here on, and goes first
+  std::set<std::string> out_;  // upstreams that the module and the sockets know to be taken out
+  bool list_told_ = false;     // discovery has told a list since the start
+  const TimePoint started_ = Now();
+  bool stopping_ = false;
+  Listener listener_;  // it takes requests from here on
+  std::optional<Kept> kept_;
+  std::optional<Admin> admin_;  // last: it speaks of all the others, and goes first
 };
 
 }  // namespace mothrack
--- a/node/upstreams.cpp
+++ b/node/upstreams.cpp
@@ -354,7 +354,7 @@
 
 void Upstreams::Apply(const std::string& uid, const Location& location) {
   auto& pool = pools_[uid];
-  if (!pool) pool = std::make_shared<Pool>();
+  if (!pool) pool = std::make_shared<Pool>(Pool{uid, {}, {}});
   const Location before = std::exchange(pool->location, location);
   const bool moved = before.endpoint != location.endpoint || before.boot_ms != location.boot_ms;
   if (location.state == UpstreamState::kServing && !moved) return;
@@ -362,13 +362,26 @@
   const auto old = pool;
   if (moved) {
     // What is still out there belongs to the former process or place and is not pooled again.
-    pool = std::make_shared<Pool>();
-    pool->location = location;
+    pool = std::make_shared<Pool>(Pool{uid, location, {}});
     old->location.state = UpstreamState::kGone;
   }
   if (location.state == UpstreamState::kGone) pools_.erase(uid);
-  for (const auto& connection : std::exchange(old->idle, {})) connection->Close();
-  AbortUnsent(old);
+  Empty(old);
+}
+
+void Upstreams::TakeOut(const std::string& uid, bool out) {
+  if (!out) out_.erase(uid);
+  if (!out || !out_.insert(uid).second) return;
+  if (const auto it = pools_.find(uid); it != pools_.end()) Empty(it->second);
+}
+
+bool Upstreams::MayOpen(const Pool& pool) const {
+  return pool.location.state == UpstreamState::kServing && !out_.contains(pool.uid);
+}
+
+void Upstreams::Empty(const std::shared_ptr<Pool>& pool) {
+  for (const auto& connection : std::exchange(pool->idle, {})) connection->Close();
+  AbortUnsent(pool);
 }
 
 std::vector<std::string> Upstreams::Known() const {
@@ -389,7 +402,7 @@
                      Duration timeout, Duration max_idle, OnEnd on_end) {
   const auto it = pools_.find(uid);
   std::shared_ptr<Connection> connection;
-  if (it != pools_.end() && it->second->location.state == UpstreamState::kServing) {
+  if (it != pools_.end() && MayOpen(*it->second)) {
     connection = TakeIdle(*it->second, max_idle);
     if (!connection) connection = Open(it->second);
   }
@@ -462,7 +475,7 @@
 
 void Upstreams::Release(const std::shared_ptr<Connection>& connection) {
   const auto pool = connection->pool();
-  if (!pool || pool->location.state != UpstreamState::kServing) return connection->Close();
+  if (!pool || !MayOpen(*pool)) return connection->Close();
   pool->idle.push_back(connection);
 }
 
--- a/node/upstreams.h
+++ b/node/upstreams.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,9 @@
   // connections are closed and what has not begun to be written to it ends as not sent.
   void Apply(const std::string& uid, const Location& location);
   std::vector<std::string> Known() const;
+  bool Knows(const std::string& uid) const { return pools_.contains(uid); }
+  // Taken out by the operators: as one that drains, whatever discovery tells of it.
+  void TakeOut(const std::string& uid, bool out);
 
   // `on_end` is called exactly once, also where nothing could be sent. `request` is sent with its
   // X-Timeout-Ms set to the time-out, on a connection that has been idle for `max_idle` at most, or a new
@@ -66,6 +70,7 @@
  private:
   class Connection;
   struct Pool {
+    std::string uid;
     Location location;
     std::vector<std::shared_ptr<Connection>> idle;  // the most recently used one last
   };
@@ -74,6 +79,9 @@
   std::shared_ptr<Connection> Open(const std::shared_ptr<Pool>& pool);
   // Closes the connection that has been idle longest; false where there is none.
   bool EvictIdle();
+  bool MayOpen(const Pool& pool) const;
+  // Ends what nobody may use any more: idle connections, and what has not begun to be written.
+  void Empty(const std::shared_ptr<Pool>& pool);
   void AbortUnsent(const std::shared_ptr<Pool>& pool);
   void Release(const std::shared_ptr<Connection>& connection);
   void Forget(const Connection& connection);
@@ -86,6 +94,7 @@
   const std::string probe_target_;
   Descriptors& descriptors_;
   std::map<std::string, std::shared_ptr<Pool>> pools_;
+  std::set<std::string> out_;
   std::map<ExchangeId, std::shared_ptr<Connection>> exchanges_;
   boost::asio::steady_timer sweep_;
 };
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -98,12 +98,13 @@
 
 }  // namespace
 
-class Balancer::Impl {
+class Balancer::Impl : private Book {
  public:
   Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
     settings_.Validate();
     ask_pause_ = settings_.rules.ask_within / 10;
     trusted_idle_ = settings_.limits.idle_close;
+    retry_budget_ = kRetryBurst;
     if (settings_.load_by_probe && settings_.limits.probes) {
       ask_price_ = std::max(settings_.prices.probe, 1e-9);
       asks_ = static_cast<std::size_t>(std::clamp(kAskSpend / ask_price_, 1.0, kMostAsked));
@@ -188,9 +189,31 @@
     u->info = info;
     u->listed = true;
     if (!(u->info.weight > 0)) u->info.weight = 1;
+    u->told = info.state;
+    if (const auto word = words_.find(info.id.value); word != words_.end()) {
+      if (!word->second.out) u->put_back = word->second.at;
+      if (word->second.out && info.state == UpstreamState::kServing) u->info.state = UpstreamState::kDraining;
+    }
     if (new_process || !was_serving) entering.push_back(u);
   }
 
+  // One put back may have started anew while it was out, and the list tells that late: it comes back with a
+  // clean record, as cold as one that starts now.
+  void On(const OperatorsWord& e) {
+    Word& word = words_[e.upstream.value];
+    if (word.out == e.out) return;
+    word = {e.out, now_};
+    const auto it = index_.find(e.upstream.value);
+    if (it == index_.end()) return;
+    UpstreamInfo info = it->second->info;
+    info.state = it->second->told;
+    if (!e.out) it->second->info.state = UpstreamState::kGone, index_.erase(it);
+    std::vector<UpstreamPtr> entering;
+    Adopt(info, entering);
+    Order();
+    for (const UpstreamPtr& u : entering) Enter(*u);
+  }
+
   // ---- Ejection ----
 
   void Judge(Upstream& u, const Attempt& attempt, Outcome outcome) {
@@ -799,8 +822,9 @@
   // The least share of its capacity that an upstream has by now: an even rise from the cold share to the
   // full.
   double Warmth(const Upstream& u) const {
-    if (!u.info.started) return 1;
-    const double age = Seconds(now_ - *u.info.started) / Seconds(settings_.rules.cold_time);
+    const auto started = std::max(u.info.started, u.put_back);
+    if (!started) return 1;
+    const double age = Seconds(now_ - *started) / Seconds(settings_.rules.cold_time);
     const double from = settings_.rules.cold_from;
     return std::clamp(from + (1 - from) * age, from, 1.0);
   }
@@ -880,47 +904,6 @@
 
   const Settings settings_;
   std::mt19937_64 random_;
-  TimePoint now_;
-  std::vector<Action>* out_ = nullptr;
-  bool running_ = false;
-  TimePoint started_;
-  std::unordered_map<std::string, UpstreamPtr> index_;   // those that are not gone; walked only to sort them
-  std::vector<UpstreamPtr> order_;                       // the same, by rank
-  std::unordered_map<RequestId, Request> requests_;      // looked up, never walked
-  std::unordered_map<std::uint64_t, RequestId> timers_;  // looked up, never walked
-  std::uint64_t last_token_ = kHousekeepingToken;
-  std::optional<TimePoint> ask_again_at_;
-  Duration ask_pause_{};  // grows from failure to failure; up to twice that is waited
-  bool refusing_ = false;
-  TimePoint refused_at_;
-  static constexpr double kNoLimit = 1e9;
-  double limit_ = kNoLimit;    // calls held at once
-  double held_ = 0;            // attempts out
-  double usual_held_ = 0;      // calls for each unit of weight, while answers are in time
-  double serving_weight_ = 0;  // of all that serve by the list
-  double able_weight_ = 0;     // of those that can take calls
-  double telling_weight_ = 0;  // of those whose lateness tells of load
-  double peak_held_ = 0;       // since the limit was last looked at
-  double all_calls_ = 0;       // sums over the upstreams in service
-  double all_failures_ = 0;
-  double late_ = 0;  // of timely_or_not_ outcomes, likewise
-  double timely_or_not_ = 0;
-  std::size_t asks_ = 1;           // upstreams asked for their load before a call; 1: none
-  double ask_price_ = 1;           // of a probe, as a share of a call's worth; 1: none is to be sent
-  Fading all_late_;                // as Upstream::late, over all
-  std::vector<RequestId> asking_;  // requests that wait for reports
-  std::vector<double> admitted_;   // each class's share of late
-  std::uint64_t arrivals_ = 0;     // since the last housekeeping
-  std::uint64_t served_ = 0;       // likewise
-  double usual_rate_ = 0;         // requests taken a second, slowly changing; clients' repeats are among them
-  double usual_served_ = 0;       // answers served a second, slowly changing
-  std::vector<Mean> usual_time_;  // microseconds, by class
-  Mean usual_any_, usual_load_;   // an answer's time; what its upstream held
-  Mean connecting_;               // how hard it is, 0 to 1
-  Duration trusted_idle_;         // connections idle for longer are closed before a call
-  std::map<std::string, Mean> kind_slowness_;
-  double retry_budget_ = kRetryBurst;
-  double usual_weight_ = 0;  // the list's weight, slow to fall
 };
 
 Balancer::Balancer(Settings settings, std::uint64_t seed)
--- a/src/state.h
+++ b/src/state.h
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "kestrellb/balancer.h"
@@ -72,8 +74,10 @@
 // of calls to the earlier process say nothing of it.
 struct Upstream {
   UpstreamInfo info;
-  std::uint64_t rank = 0;  // its place in this sidecar's order
-  bool listed = true;      // in the list that is being taken in
+  std::uint64_t rank = 0;                        // its place in this sidecar's order
+  bool listed = true;                            // in the list that is being taken in
+  UpstreamState told = UpstreamState::kServing;  // by the list; `info` has what counts
+  std::optional<TimePoint> put_back;             // by the operators, perhaps as a new process
   // Ejection.
   int failure_run = 0;
   bool ejected = false;
@@ -106,6 +110,12 @@
   TimePoint cold_refilled;
 };
 
+// What the operators last said of an upstream, and when.
+struct Word {
+  bool out = false;
+  TimePoint at;
+};
+
 using UpstreamPtr = std::shared_ptr<Upstream>;  // those that are gone live on while calls refer to them
 
 struct Attempt {
@@ -155,4 +165,50 @@
   return i < r.attempts.size() ? &r.attempts[i] : nullptr;
 }
 
+// What a balancer keeps beside its settings and its source of chance.
+struct Book {
+  TimePoint now_;
+  std::vector<Action>* out_ = nullptr;
+  bool running_ = false;
+  TimePoint started_;
+  std::unordered_map<std::string, UpstreamPtr> index_;   // those that are not gone; walked only to sort them
+  std::vector<UpstreamPtr> order_;                       // the same, by rank
+  std::unordered_map<std::string, Word> words_;          // looked up, never walked
+  std::unordered_map<RequestId, Request> requests_;      // looked up, never walked
+  std::unordered_map<std::uint64_t, RequestId> timers_;  // looked up, never walked
+  std::uint64_t last_token_ = 0;
+  std::optional<TimePoint> ask_again_at_;
+  Duration ask_pause_{};  // grows from failure to failure; up to twice that is waited
+  bool refusing_ = false;
+  TimePoint refused_at_;
+  static constexpr double kNoLimit = 1e9;
+  double limit_ = kNoLimit;    // calls held at once
+  double held_ = 0;            // attempts out
+  double usual_held_ = 0;      // calls for each unit of weight, while answers are in time
+  double serving_weight_ = 0;  // of all that serve by the list
+  double able_weight_ = 0;     // of those that can take calls
+  double telling_weight_ = 0;  // of those whose lateness tells of load
+  double peak_held_ = 0;       // since the limit was last looked at
+  double all_calls_ = 0;       // sums over the upstreams in service
+  double all_failures_ = 0;
+  double late_ = 0;  // of timely_or_not_ outcomes, likewise
+  double timely_or_not_ = 0;
+  std::size_t asks_ = 1;           // upstreams asked for their load before a call; 1: none
+  double ask_price_ = 1;           // of a probe, as a share of a call's worth; 1: none is to be sent
+  Fading all_late_;                // as Upstream::late, over all
+  std::vector<RequestId> asking_;  // requests that wait for reports
+  std::vector<double> admitted_;   // each class's share of late
+  std::uint64_t arrivals_ = 0;     // since the last housekeeping
+  std::uint64_t served_ = 0;       // likewise
+  double usual_rate_ = 0;         // requests taken a second, slowly changing; clients' repeats are among them
+  double usual_served_ = 0;       // answers served a second, slowly changing
+  std::vector<Mean> usual_time_;  // microseconds, by class
+  Mean usual_any_, usual_load_;   // an answer's time; what its upstream held
+  Mean connecting_;               // how hard it is, 0 to 1
+  Duration trusted_idle_;         // connections idle for longer are closed before a call
+  std::map<std::string, Mean> kind_slowness_;
+  double retry_budget_ = 0;
+  double usual_weight_ = 0;  // the list's weight, slow to fall
+};
+
 }  // namespace kestrellb
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -276,6 +276,8 @@
     ::setenv("LB_LISTEN", options.listen.c_str(), 1);
     ::setenv("LB_DISCOVERY", options.discovery.c_str(), 1);
     ::setenv("LB_CONFIG", config_path_.c_str(), 1);
+    if (!options.admin.empty()) ::setenv("LB_ADMIN", options.admin.c_str(), 1);
+    if (!options.tmpdir.empty()) ::setenv("TMPDIR", options.tmpdir.c_str(), 1);
     for (const auto& name : options.unset) ::unsetenv(name.c_str());
     ::execl(MOTHRACK_PROGRAM, MOTHRACK_PROGRAM, nullptr);
     ::_exit(127);
@@ -302,14 +304,31 @@
 }
 
 bool Node::Listening() {
-  static const std::string kMark = "listening on 127.0.0.1:";
-  return Eventually([this] {
-    const std::string text = log();
-    const auto at = text.find(kMark);
-    if (at == std::string::npos || text.find('\n', at) == std::string::npos) return false;
-    port_ = static_cast<std::uint16_t>(std::stoi(text.substr(at + kMark.size())));
-    return true;
-  });
+  return Eventually([this] { return (port_ = PortBehind("listening on 127.0.0.1:")) != 0; });
+}
+
+std::uint16_t Node::PortBehind(const std::string& mark) const {
+  const std::string text = log();
+  const auto at = text.find(mark);
+  if (at == std::string::npos || text.find('\n', at) == std::string::npos) return 0;
+  return static_cast<std::uint16_t>(std::stoi(text.substr(at + mark.size())));
+}
+
+std::uint16_t Node::admin_port() {
+  std::uint16_t port = 0;
+  Eventually([&] { return (port = PortBehind("operators at 127.0.0.1:")) != 0; });
+  return port;
+}
+
+std::optional<Response> Node::Operate(const std::string& method, const std::string& target) {
+  Client caller(admin_port());
+  if (!caller.Send(method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n")) return std::nullopt;
+  return caller.Read();
+}
+
+unsigned Node::Status(const std::string& method, const std::string& target) {
+  const auto answer = Operate(method, target);
+  return answer ? answer->result_int() : 0;
 }
 
 void Node::Signal(int number) { ::kill(pid_, number); }
@@ -357,6 +376,14 @@
   return Read();
 }
 
+Folder::Folder() {
+  std::string name = std::filesystem::temp_directory_path() / "mothrack-folder-XXXXXX";
+  if (::mkdtemp(name.data()) == nullptr) throw std::runtime_error("mkdtemp");
+  path_ = name;
+}
+
+Folder::~Folder() { std::filesystem::remove_all(path_); }
+
 std::string GetText(const std::string& target, const std::string& id, int timeout_ms) {
   return "GET " + target + " HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: " + id +
          "\r\nX-Timeout-Ms: " + std::to_string(timeout_ms) + "\r\n\r\n";
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -162,6 +162,8 @@
     json settings = Settings();
     int sockets = 256;
     std::string listen = "127.0.0.1:0";
+    std::string admin;   // the operators' address; empty: none
+    std::string tmpdir;  // empty: the test's own
     std::vector<std::string> unset;
     std::string config_text;  // in place of the JSON made from the rest
   };
@@ -169,6 +171,10 @@
   ~Node();
   bool Listening();  // waits until it is
   std::uint16_t port() const { return port_; }
+  // What the operators' door says to one call.
+  std::optional<Response> Operate(const std::string& method, const std::string& target);
+  unsigned Status(const std::string& method, const std::string& target);  // likewise; 0 where it says nothing
+  std::uint16_t admin_port();
   void Signal(int number);
   void Reload(const std::string& config_text);  // replaces the file and tells it
   json config() const { return config_; }
@@ -183,6 +189,7 @@
   std::uint16_t port_ = 0;
   json config_;
   std::string config_path_;
+  std::uint16_t PortBehind(const std::string& mark) const;  // in the log; 0 while it is not there
   mutable std::mutex mutex_;
   std::string log_;
   std::thread reading_;
@@ -202,6 +209,17 @@
   Wire wire{io};
 };
 
+// A folder of a test's own, that goes with it.
+class Folder {
+ public:
+  Folder();
+  ~Folder();
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
 std::string GetText(const std::string& target, const std::string& id, int timeout_ms = 5000);
 std::string PostText(const std::string& target, const std::string& id, const std::string& body,
                      int timeout_ms = 5000, const std::string& headers = "");
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -188,6 +188,62 @@
   for (const Sent& s : w.sent) EXPECT_NE(s.upstream, other);
 }
 
+// ---- The operators' word holds ----
+
+TEST(TakenOut, NothingNewUntilItIsPutBackWhateverTheListSays) {
+  World w;
+  w.List(3);
+  w.Do(OperatorsWord{{"b"}, true});
+  w.Do(OperatorsWord{{"b"}, true});
+  EXPECT_EQ(w.Spread(30)["b"], 0);
+  w.Full({Up("a"), Up("b"), Up("c")});
+  EXPECT_EQ(w.Spread(30)["b"], 0);
+  w.Full({Up("a"), Up("c")});
+  UpstreamInfo anew = Up("b");
+  anew.started = w.now;
+  w.Change(anew);
+  EXPECT_EQ(w.Spread(30)["b"], 0);
+  w.Advance(60s);
+  w.Do(OperatorsWord{{"b"}, false});
+  w.Advance(60s);
+  EXPECT_EQ(w.Spread(30)["b"], 10);
+}
+
+TEST(TakenOut, ADrainToldMeanwhileHoldsOnceItIsPutBack) {
+  World w;
+  w.List(3);
+  w.Do(OperatorsWord{{"b"}, true});
+  w.Change(Up("b", UpstreamState::kDraining));
+  w.Do(OperatorsWord{{"b"}, false});
+  EXPECT_EQ(w.Spread(30)["b"], 0);
+}
+
+TEST(TakenOut, AllOfThemRefusesAtOnce) {
+  World w;
+  w.List(2);
+  for (const char* id : {"a", "b"}) w.Do(OperatorsWord{{id}, true});
+  w.Arrive(kUnsafe);
+  EXPECT_EQ(w.refused.size(), 1u);
+  EXPECT_GT(w.last_retry_after, 0ms);
+}
+
+TEST(TakenOut, OnePutBackIsSparedLikeAColdOneAndItsFailuresAreForgotten) {
+  World w;
+  w.List(4);
+  w.FailRun("b", 5);
+  EXPECT_EQ(w.Spread(20)["b"], 0);
+  w.Do(OperatorsWord{{"b"}, true});
+  w.Advance(1s);
+  w.Do(OperatorsWord{{"b"}, false});
+  int taken = 0;
+  for (int i = 0; i < 100; ++i) {
+    taken += w.Serve() == "b";
+    w.Advance(10ms);
+  }
+  EXPECT_GT(taken, 0);
+  EXPECT_LE(taken, 10);
+}
+
 // ---- A cold upstream is not pushed over ----
 
 TEST(ColdUpstream, TakesLessThanItsShareAtFirstAndItsShareInTheEnd) {
