Hand the clients' listening socket to the new process of an upgrade

So it could not bind beside the first one: acceptor_.bind in Listener::Listener, with SO_REUSEADDR only. Without it Upgrade.* fail: the second process never gets ready.

--- a/node/descriptors.h
+++ b/node/descriptors.h
@@ -12,8 +12,7 @@
   static constexpr std::size_t kFixed = 16;
 
   // `fixed`: what is always open in this process.
-  explicit Descriptors(std::size_t limit, std::size_t fixed = kFixed)
-      : limit_(limit > fixed ? limit - fixed : 1) {}
+  explicit Descriptors(std::size_t limit, std::size_t fixed = kFixed) : limit_(limit), fixed_(fixed) {}
 
   enum class Side { kClient, kUpstream };
 
@@ -35,11 +34,22 @@
   // nothing to serve them with, nor make the pools close what the next request needs. A request takes one
   // descriptor on either side, and a second copy one more.
   bool Room(Side side) const {
-    return side == Side::kClient ? clients_ < limit_ / 2 : upstreams_ < limit_ - limit_ / 2;
+    const std::size_t limit = Limit();
+    return side == Side::kClient ? clients_ < limit / 2 : upstreams_ < limit - limit / 2;
   }
 
+  // For as long as another process of the same sidecar runs: they keep the limit together.
+  void Share(bool shared) { shared_ = shared; }
+
  private:
+  std::size_t Limit() const {
+    const std::size_t mine = shared_ ? limit_ / 2 : limit_;
+    return mine > fixed_ ? mine - fixed_ : 1;
+  }
+
   std::size_t limit_;
+  std::size_t fixed_;
+  bool shared_ = false;
   std::size_t clients_ = 0;
   std::size_t upstreams_ = 0;
 };
--- a/node/kept.cpp
+++ b/node/kept.cpp
@@ -1,7 +1,13 @@
 #include "kept.h"
 
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <boost/asio/buffer.hpp>
 #include <chrono>
 #include <cstdio>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <optional>
@@ -16,6 +22,7 @@
 // The other process has to act on a call well within the second that the operators allow.
 constexpr auto kLook = std::chrono::milliseconds(100);
 const std::string kDrained = "drained";
+const std::string kHandover = "handover";
 const std::string kOut = "out-";
 // Names of files end there; no real id comes near.
 constexpr std::size_t kLongestId = 120;
@@ -46,6 +53,52 @@
   return id;
 }
 
+// The process before answers at once unless it is starved; without its answer this one listens on its own.
+constexpr timeval kAskPatience{1, 0};
+
+// One byte and the descriptor beside it.
+union Ancillary {
+  cmsghdr header;
+  char room[CMSG_SPACE(sizeof(int))];
+};
+
+bool SendDescriptor(int to, int descriptor) {
+  char byte = 'l';
+  iovec part{&byte, 1};
+  Ancillary ancillary{};
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  message.msg_control = ancillary.room;
+  message.msg_controllen = sizeof ancillary.room;
+  cmsghdr* header = CMSG_FIRSTHDR(&message);
+  header->cmsg_level = SOL_SOCKET;
+  header->cmsg_type = SCM_RIGHTS;
+  header->cmsg_len = CMSG_LEN(sizeof descriptor);
+  std::memcpy(CMSG_DATA(header), &descriptor, sizeof descriptor);
+  return ::sendmsg(to, &message, MSG_NOSIGNAL | MSG_DONTWAIT) == 1;
+}
+
+std::optional<int> ReceiveDescriptor(int from) {
+  char byte = 0;
+  iovec part{&byte, 1};
+  Ancillary ancillary{};
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  message.msg_control = ancillary.room;
+  message.msg_controllen = sizeof ancillary.room;
+  if (::recvmsg(from, &message, MSG_CMSG_CLOEXEC) != 1) return std::nullopt;
+  const cmsghdr* header = CMSG_FIRSTHDR(&message);
+  if (header == nullptr || header->cmsg_level != SOL_SOCKET || header->cmsg_type != SCM_RIGHTS ||
+      header->cmsg_len != CMSG_LEN(sizeof(int))) {
+    return std::nullopt;
+  }
+  int descriptor = -1;
+  std::memcpy(&descriptor, CMSG_DATA(header), sizeof descriptor);
+  return descriptor;
+}
+
 }  // namespace
 
 Kept::Kept(boost::asio::io_context& io, std::string folder, Logger& log, OnChange on_change)
@@ -90,7 +143,8 @@
     const auto id = name.starts_with(kOut) ? FromHex(name.substr(kOut.size())) : std::nullopt;
     if (id) found.out.insert(*id);
     if (name == kDrained) found.drained = true;
-    if (!id && name != kDrained && foreign_.size() < kMostForeign && foreign_.insert(name).second) {
+    if (!id && name != kDrained && name != kHandover && foreign_.size() < kMostForeign &&
+        foreign_.insert(name).second) {
       log_.Line("kept: not ours: " + name);
     }
   }
@@ -114,4 +168,100 @@
   folder_.clear();
 }
 
+Handover::Handover(boost::asio::io_context& io, std::string folder, Logger& log, OnChange on_change)
+    : io_(io), folder_(std::move(folder)), log_(log), on_change_(std::move(on_change)), acceptor_(io) {}
+
+Handover::~Handover() {
+  boost::system::error_code ignored;
+  for (const auto& socket : {before_, next_})
+    if (socket) socket->close(ignored);
+}
+
+// Nothing where there is no folder, or where its name is too long for a socket.
+std::optional<boost::asio::local::stream_protocol::endpoint> Handover::Place() {
+  if (folder_.empty()) return std::nullopt;
+  try {
+    return boost::asio::local::stream_protocol::endpoint(folder_ + "/" + kHandover);
+  } catch (const boost::system::system_error& e) {
+    log_.Line("handover: " + folder_ + ": " + e.what());
+    return std::nullopt;
+  }
+}
+
+std::optional<int> Handover::Take() {
+  const auto place = Place();
+  if (!place) return std::nullopt;
+  auto socket = std::make_shared<Socket>(io_);
+  boost::system::error_code error;
+  socket->open({}, error);
+  if (!error) socket->connect(*place, error);
+  if (error) return std::nullopt;  // nobody is there
+  // Blocks, but for so long only: there is nothing to serve yet.
+  ::setsockopt(socket->native_handle(), SOL_SOCKET, SO_RCVTIMEO, &kAskPatience, sizeof kAskPatience);
+  const auto listening = ReceiveDescriptor(socket->native_handle());
+  if (!listening) {
+    log_.Line("handover: the process before does not hand over");
+    return std::nullopt;
+  }
+  before_ = std::move(socket);
+  WatchBefore();
+  return listening;
+}
+
+void Handover::WatchBefore() {
+  before_->async_read_some(boost::asio::buffer(&ignored_, 1),
+                           [this, socket = before_](boost::system::error_code error, std::size_t) {
+                             if (error == boost::asio::error::operation_aborted) return;
+                             if (!error) return WatchBefore();
+                             before_ = nullptr;
+                             on_change_();
+                           });
+}
+
+void Handover::Offer(int listening) {
+  const auto place = Place();
+  if (!place) return;
+  listening_ = listening;
+  std::error_code failed;
+  fs::create_directories(folder_, failed);
+  ::unlink(place->path().c_str());
+  boost::system::error_code error;
+  acceptor_.open({}, error);
+  if (!error) acceptor_.bind(*place, error);
+  if (!error) acceptor_.listen(4, error);
+  if (error) return log_.Line("handover: " + error.message() + "; the next process listens on its own");
+  Accept();
+  if (!before_) return;
+  before_->native_non_blocking(true, error);
+  before_->send(boost::asio::buffer("r", 1), MSG_NOSIGNAL, error);
+}
+
+// The newest is the one that counts: one before it that never served has been given up by the platform.
+void Handover::Accept() {
+  acceptor_.async_accept([this](boost::system::error_code error, Socket socket) {
+    if (error) return;
+    if (next_) next_->close(error);
+    next_ = std::make_shared<Socket>(std::move(socket));
+    next_serves_ = false;
+    if (SendDescriptor(next_->native_handle(), listening_)) {
+      WatchNext();
+    } else {
+      next_ = nullptr;
+    }
+    on_change_();
+    Accept();
+  });
+}
+
+void Handover::WatchNext() {
+  next_->async_read_some(boost::asio::buffer(&byte_, 1),
+                         [this, socket = next_](boost::system::error_code error, std::size_t) {
+                           if (socket != next_) return;
+                           next_serves_ = !error;
+                           if (error) next_ = nullptr;
+                           on_change_();
+                           if (!error) WatchNext();
+                         });
+}
+
 }  // namespace mothrack
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -1,5 +1,7 @@
 #include "listener.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -215,8 +217,10 @@
     const auto target = request.target();
     state_ = State::kServing;
     if (target == "/up" && request.method() == http::verb::get) {
-      return Answer(owner_->Leaving() ? PlainResponse(http::status::service_unavailable, "draining")
-                                      : PlainResponse(http::status::ok, "up"));
+      // What another process serves is up: no client is to stay away.
+      const bool up = owner_->handed_over_ ? !owner_->away_ : !owner_->Leaving();
+      return Answer(!up ? PlainResponse(http::status::service_unavailable, "draining")
+                        : PlainResponse(http::status::ok, "up"));
     }
     auto reply = [self = shared_from_this()](HttpResponse response) {
       self->gone_ = nullptr;
@@ -276,8 +280,8 @@
   bool closed_ = false;
 };
 
-Listener::Listener(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors,
-                   Logger& log, OnRequest on_request)
+Listener::Listener(boost::asio::io_context& io, const Endpoint& endpoint, bool shared,
+                   std::optional<int> listening, Descriptors& descriptors, Logger& log, OnRequest on_request)
     : io_(io),
       descriptors_(descriptors),
       log_(log),
@@ -285,14 +289,28 @@
       acceptor_(io),
       pause_(io),
       sweep_(io) {
+  if (listening) {
+    acceptor_.assign(endpoint.protocol(), *listening);
+  } else {
+    Bind(endpoint, shared);
+  }
+  acceptor_.non_blocking(true);
+  ScheduleSweep();
+}
+
+void Listener::Bind(const Endpoint& endpoint, bool shared) {
   acceptor_.open(endpoint.protocol());
   // A start after a kill must not wait for the former process's connections to be forgotten.
   acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+  // Where it is refused the address is this process's alone, and the next one has to wait for it.
+  const int yes = 1;
+  if (shared) ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_REUSEPORT, &yes, sizeof yes);
   acceptor_.bind(endpoint);
   acceptor_.listen(boost::asio::socket_base::max_listen_connections);
-  acceptor_.non_blocking(true);
-  Accept();
-  ScheduleSweep();
+}
+
+void Listener::Start() {
+  if (!std::exchange(started_, true)) Accept();
 }
 
 Listener::~Listener() {
@@ -377,9 +395,12 @@
   ScheduleSweep();
 }
 
-void Listener::Drain(std::function<void()> done) {
+void Listener::Drain(bool handed_over, std::function<void()> done) {
   if (drained_) return;
   drained_ = std::move(done);
+  handed_over_ = handed_over;
+  error_code ignored;
+  if (handed_over) acceptor_.close(ignored);  // its queue stays open there
   drain_started_ = Now();
   sweep_.cancel();
   Sweep();
--- a/node/listener.h
+++ b/node/listener.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "clock.h"
@@ -24,22 +25,27 @@
   // Takes one request and calls `reply` once, perhaps at once.
   using OnRequest = std::function<OnGone(HttpRequest request, Reply reply)>;
 
-  // Binds and listens; throws boost::system::system_error.
-  Listener(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors, Logger& log,
-           OnRequest on_request);
+  // Binds and listens, with other processes where it is `shared`, or takes over `listening`, a socket that
+  // does so already; throws boost::system::system_error.
+  Listener(boost::asio::io_context& io, const Endpoint& endpoint, bool shared, std::optional<int> listening,
+           Descriptors& descriptors, Logger& log, OnRequest on_request);
   ~Listener();
 
+  void Start();  // takes clients from now on; once is enough
+  int listening() { return acceptor_.native_handle(); }
   Endpoint local() const { return acceptor_.local_endpoint(); }
 
   // Sends clients away, or takes them again: `/up` says no, answers close their connections and idle ones are
   // closed, but whoever comes all the same is served.
   void SendAway(bool away);
-  // A planned stop: serves what still comes for a while, tells each client to close, then calls `done`.
-  void Drain(std::function<void()> done);
+  // A planned stop: serves what still comes for a while, tells each client to close, then calls `done`. Where
+  // another process takes the clients from the same socket by now, `handed_over`, that one serves what comes.
+  void Drain(bool handed_over, std::function<void()> done);
 
  private:
   class Connection;
 
+  void Bind(const Endpoint& endpoint, bool shared);
   void Accept();
   void AcceptIn(Duration wait);
   void Admit(boost::asio::ip::tcp::socket socket);
@@ -58,6 +64,8 @@
   boost::asio::steady_timer pause_;
   boost::asio::steady_timer sweep_;
   std::set<std::shared_ptr<Connection>> connections_;
+  bool started_ = false;
+  bool handed_over_ = false;
   bool away_ = false;
   std::function<void()> drained_;  // set while draining
   TimePoint drain_started_;
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -1,5 +1,8 @@
 #include "sidecar.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
@@ -100,6 +103,17 @@
   bool& flag_;
 };
 
+// What the process before hands over, if it listens where this one is to.
+std::optional<int> Listening(Handover& handover, const Endpoint& endpoint) {
+  const auto listening = handover.Take();
+  if (!listening) return std::nullopt;
+  Endpoint local;
+  socklen_t size = static_cast<socklen_t>(local.capacity());
+  if (::getsockname(*listening, local.data(), &size) == 0 && local == endpoint) return listening;
+  ::close(*listening);
+  return std::nullopt;
+}
+
 MembershipList Known(const nlohmann::json& known, const UnixClock& clock) {
   MembershipList list;
   if (!known.is_null()) {
@@ -119,6 +133,7 @@
     : settings_(config.settings),
       log_(config.name),
       descriptors_(config.sockets, Descriptors::kFixed + (config.admin ? Admin::kDescriptors : 0)),
+      handover_(io, config.keep, log_, [this] { FollowOther(); }),
       balancer_(config.settings, config.seed),
       upstreams_(io, config.settings.limits, config.settings.load_by_probe, descriptors_),
       discovery_(
@@ -126,14 +141,17 @@
           [this](MembershipList list) {
             list_told_ = true;
             Apply(std::move(list));
+            Serve();
           },
           [this] {
             Deliver(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}});
           }),
       timer_(io),
-      listener_(io, config.listen, descriptors_, log_, [this](HttpRequest request, Listener::Reply reply) {
-        return Take(std::move(request), std::move(reply));
-      }) {
+      patience_(io),
+      listener_(io, config.listen, config.admin.has_value(), Listening(handover_, config.listen),
+                descriptors_, log_, [this](HttpRequest request, Listener::Reply reply) {
+                  return Take(std::move(request), std::move(reply));
+                }) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
     classes_.emplace(settings_.classes[i].name, kestrellb::ClassId{i});
   }
@@ -146,6 +164,7 @@
   Apply(std::move(known));
   // Where membership is told on request, the module asks.
   if (!settings_.membership_on_request) discovery_.Ask();
+  if (!handover_.after_another()) listener_.Start();
   if (!config.admin) return;
   kept_.emplace(io, config.keep, log_, [this](const Words& words) { Follow(words); });
   try {
@@ -156,11 +175,35 @@
     text << "LB_ADMIN " << *config.admin << ": " << e.what();
     throw ConfigError(text.str());
   }
+  descriptors_.Share(handover_.after_another());
+  patience_.expires_after(kListPatience);
+  patience_.async_wait([this](error_code error) {
+    if (!error) Serve();
+  });
+}
+
+// A process that comes after another leaves the clients to that one until it can serve them as well.
+void Sidecar::Serve() {
+  if (!kept_ || serving_ || stopping_) return;
+  if (NotServing() != nullptr && handover_.after_another()) return;
+  serving_ = true;
+  listener_.Start();
+  handover_.Offer(listener_.listening());
+}
+
+void Sidecar::FollowOther() {
+  log_.Line(handover_.next_serves()     ? "another process takes the clients, too"
+            : handover_.has_next()      ? "another process has come"
+            : handover_.after_another() ? "the process before is there"
+                                        : "this is the only process");
+  descriptors_.Share(handover_.after_another() || handover_.has_next());
+  upstreams_.MakeRoom();
+  Serve();
 }
 
 void Sidecar::Drain(std::function<void()> done) {
   stopping_ = true;
-  listener_.Drain(std::move(done));
+  listener_.Drain(handover_.next_serves(), std::move(done));
 }
 
 void Sidecar::Reconfigure(const Config& config) {
@@ -198,10 +241,13 @@
   return PlainResponse(http::status::ok, upstream + (out ? " is out" : " is back"));
 }
 
+const char* Sidecar::NotServing() const {
+  if (!list_told_ && Now() - started_ < kListPatience) return "waiting for discovery";
+  return upstreams_.Known().empty() ? "no upstream is known" : nullptr;
+}
+
 HttpResponse Sidecar::Ready() const {
-  const char* why = nullptr;
-  if (upstreams_.Known().empty()) why = "no upstream is known";
-  if (!list_told_ && Now() - started_ < kListPatience) why = "waiting for discovery";
+  const char* why = serving_ ? NotServing() : "starting";
   if (kept_->words().drained) why = "drained";
   if (stopping_) why = "stopping";
   return why ? PlainResponse(http::status::service_unavailable, std::string("not ready: ") + why)
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -71,6 +71,9 @@
   HttpResponse Operate(http::verb method, const std::string& target);
   HttpResponse TakeOut(const std::string& upstream, bool out);
   HttpResponse Ready() const;
+  const char* NotServing() const;  // why it can't serve yet; null where it can
+  void Serve();                    // takes clients, once it can
+  void FollowOther();              // the other process of an upgrade came, serves or went
   void Follow(const Words& words);
 
   void CarryOut(const kestrellb::SendAttempt& action);
@@ -91,6 +94,7 @@
   const UnixClock unix_clock_;
   Logger log_;
   Descriptors descriptors_;
+  Handover handover_;
   kestrellb::Balancer balancer_;
   Upstreams upstreams_;
   Discovery discovery_;
@@ -109,6 +113,8 @@
   std::set<std::string> out_;  // upstreams that the module and the sockets know to be taken out
   bool list_told_ = false;     // discovery has told a list since the start
   const TimePoint started_ = Now();
+  boost::asio::steady_timer patience_;  // for discovery's first list
+  bool serving_ = false;
   bool stopping_ = false;
   Listener listener_;  // it takes requests from here on
   std::optional<Kept> kept_;
--- a/node/upstreams.cpp
+++ b/node/upstreams.cpp
@@ -434,6 +434,11 @@
   for (const auto& connection : std::exchange(it->second->idle, {})) connection->Close();
 }
 
+void Upstreams::MakeRoom() {
+  while (!descriptors_.Room(Descriptors::Side::kUpstream) && EvictIdle()) {
+  }
+}
+
 bool Upstreams::EvictIdle() {
   Pool* longest = nullptr;
   for (const auto& [uid, pool] : pools_) {
--- a/node/upstreams.h
+++ b/node/upstreams.h
@@ -66,6 +66,8 @@
   // Stops waiting: the connection is closed.
   void Cancel(ExchangeId id);
   void CloseIdle(const std::string& uid);
+  // Closes idle connections for which there is no room any more.
+  void MakeRoom();
 
  private:
   class Connection;
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -1,9 +1,11 @@
 // What operators do to the real program: calls at their door, upstreams taken out, clients sent away.
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "gtest/gtest.h"
@@ -234,5 +236,153 @@
   EXPECT_EQ(node.Wait(), 0);
 }
 
+// ---- A new version under load ----
+
+// Clients that each ask again and again on a connection of its own, until they are stopped. What meets a
+// connection that closes before anything of an answer is asked once more, as the protocol has it.
+class Crowd {
+ public:
+  explicit Crowd(std::uint16_t port) {
+    for (int i = 0; i < 4; ++i) threads_.emplace_back([this, port, i] { Ask(port, i); });
+  }
+  ~Crowd() { Stop(); }
+  void Stop() {
+    stopping_ = true;
+    for (auto& thread : threads_)
+      if (thread.joinable()) thread.join();
+  }
+  int served() const { return served_; }
+  int lost() const { return lost_; }
+
+ private:
+  void Ask(std::uint16_t port, int number) {
+    for (int i = 0; !stopping_; ++i) {
+      const std::string id = "c" + std::to_string(number) + "-" + std::to_string(i);
+      bool served = false;
+      for (int again = 0; again < 2 && !served; ++again) {
+        try {
+          Client client(port);
+          const auto answer = client.Get("/page/k", id);
+          served = answer && answer->result_int() == 200;
+        } catch (const boost::system::system_error&) {
+          ++lost_;  // refused: nobody listens
+        }
+      }
+      ++(served ? served_ : lost_);
+    }
+  }
+
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> served_{0};
+  std::atomic<int> lost_{0};
+  std::vector<std::thread> threads_;
+};
+
+class Upgrade : public ::testing::Test {
+ protected:
+  std::unique_ptr<Node> StartNode(const std::string& listen = "127.0.0.1:0", int sockets = 256) {
+    Node::Options options = Operated(List({Target("u1", upstream_.address())}), folder_.path());
+    options.discovery = discovery_.address();
+    options.listen = listen;
+    options.sockets = sockets;
+    auto node = std::make_unique<Node>(options);
+    EXPECT_TRUE(node->Listening());
+    return node;
+  }
+  static bool Ready(Node& node) {
+    return Eventually([&] { return node.Status("GET", "/ready") == 200; });
+  }
+  static std::string Address(const Node& node) { return "127.0.0.1:" + std::to_string(node.port()); }
+
+  Folder folder_;
+  Upstream upstream_{Upstream::Echo("u1")};
+  Discovery discovery_{List({Target("u1", upstream_.address())})};
+};
+
+TEST_F(Upgrade, LosesNoRequestAndNoConnectionOneAfterAnother) {
+  auto node = StartNode();
+  ASSERT_TRUE(Ready(*node));
+  Crowd crowd(node->port());
+  for (int i = 0; i < 3; ++i) {
+    const int before = crowd.served();
+    auto next = StartNode(Address(*node));
+    ASSERT_TRUE(Ready(*next));
+    node->Signal(SIGTERM);
+    EXPECT_EQ(node->Wait(), 0);
+    node = std::move(next);
+    EXPECT_TRUE(Eventually([&] { return crowd.served() > before + 20; }));
+  }
+  crowd.Stop();
+  EXPECT_EQ(crowd.lost(), 0);
+}
+
+TEST_F(Upgrade, OneThatNeverServesLeavesTheClientsToTheOldOne) {
+  auto node = StartNode();
+  ASSERT_TRUE(Ready(*node));
+  Crowd crowd(node->port());
+  {
+    Node::Options options = Operated(json::array(), folder_.path());  // it knows nobody and hears of nobody
+    options.listen = Address(*node);
+    Node never(options);
+    ASSERT_TRUE(never.Listening());
+    EXPECT_TRUE(
+        Eventually([&] { return node->log().find("another process has come") != std::string::npos; }));
+    EXPECT_EQ(never.Status("GET", "/ready"), 503U);
+    const int before = crowd.served();
+    EXPECT_TRUE(Eventually([&] { return crowd.served() > before + 20; }));
+  }
+  auto next = StartNode(Address(*node));
+  ASSERT_TRUE(Ready(*next));
+  node->Signal(SIGTERM);
+  EXPECT_EQ(node->Wait(), 0);
+  crowd.Stop();
+  EXPECT_EQ(crowd.lost(), 0);
+}
+
+TEST_F(Upgrade, OutlivesAKillOfTheOldOne) {
+  auto node = StartNode();
+  ASSERT_TRUE(Ready(*node));
+  auto next = StartNode(Address(*node));
+  ASSERT_TRUE(Ready(*next));
+  node->Signal(SIGKILL);
+  EXPECT_EQ(node->Wait(), 128 + SIGKILL);
+  Crowd crowd(next->port());
+  EXPECT_TRUE(Eventually([&] { return crowd.served() > 20; }));
+  crowd.Stop();
+  EXPECT_EQ(crowd.lost(), 0);
+}
+
+TEST_F(Upgrade, TheTwoKeepToOneLimitOfDescriptors) {
+  auto node = StartNode("127.0.0.1:0", 160);
+  ASSERT_TRUE(Ready(*node));
+  auto next = StartNode(Address(*node), 160);
+  ASSERT_TRUE(Ready(*next));
+  std::vector<std::unique_ptr<Client>> silent;
+  for (int i = 0; i < 200; ++i) {
+    silent.push_back(std::make_unique<Client>(node->port()));
+    EXPECT_LE(node->descriptors() + next->descriptors(), 160);
+  }
+  EXPECT_LT(node->descriptors(), 80);
+  EXPECT_LT(next->descriptors(), 80);
+}
+
+TEST_F(Upgrade, TheOldOneSaysUpWhileTheNewOneServes) {
+  auto node = StartNode();
+  ASSERT_TRUE(Ready(*node));
+  Client front(node->port());
+  ASSERT_TRUE(front.Get("/page/k", "f1"));
+  ASSERT_TRUE(front.Send("GET /up HT"));  // on its way when the old one is told to stop
+  auto next = StartNode(Address(*node));
+  ASSERT_TRUE(Ready(*next));
+  ASSERT_TRUE(Eventually([&] { return node->log().find("takes the clients, too") != std::string::npos; }));
+  node->Signal(SIGTERM);
+  ASSERT_TRUE(Eventually([&] { return node->Status("GET", "/ready") == 503; }));
+  ASSERT_TRUE(front.Send("TP/1.1\r\nHost: x\r\n\r\n"));
+  const auto answer = front.Read();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->result_int(), 200U);
+  EXPECT_FALSE(answer->keep_alive());
+}
+
 }  // namespace
 }  // namespace mothrack::testing
