--- a/include/kestrellb/balancer.h
+++ b/include/kestrellb/balancer.h
@@ -165,6 +165,12 @@
   TimePoint deadline{};            // when the client gives up on this try
   std::optional<Duration> work{};  // expected work, where it is known
   bool client_retry = false;       // a client's own repeat, where clients say so
+  bool open = false;  // its body still comes: `deadline` is as if it were whole now, and RequestWhole follows
+};
+
+struct RequestWhole {  // the last byte of an open one has come: its time counts from here
+  RequestId request{};
+  TimePoint deadline{};
 };
 
 enum class Outcome {
@@ -200,6 +206,7 @@
   bool finished = false;  // the client has its answer: no further one is owed
   LoadReport load;
   std::optional<Duration> idle_for{};  // the age in idleness of the connection it found, where that is known
+  bool spent = false;                  // its request can't be sent again: some of its body is gone
 };
 
 struct RequestGone {  // the client left: no answer is owed
@@ -223,7 +230,7 @@
 };
 
 using Event = std::variant<MembershipUpdate, RequestArrived, AnswerStarted, AttemptEnded, RequestGone,
-                           TimerFired, ProbeEnded, OperatorsWord>;
+                           TimerFired, ProbeEnded, OperatorsWord, RequestWhole>;
 
 // ---- Actions ----
 
--- a/node/config.cpp
+++ b/node/config.cpp
@@ -16,6 +16,7 @@
 using nlohmann::json;
 
 constexpr std::size_t kLeastSockets = 64;
+constexpr std::size_t kLeastPipe = 4 * 1024, kMostPipe = 32 * 1024;
 
 std::string Variable(const std::function<const char*(const char*)>& variable, const char* name) {
   const char* value = variable(name);
@@ -67,6 +68,17 @@
   return sockets;
 }
 
+// An eighth of the memory, were every second socket to carry such a body.
+std::size_t Pipe(const json& file, std::size_t sockets) {
+  const json& limits = file.at("limits");
+  const auto field = limits.find("memory_mb");
+  if (field == limits.end()) return kMostPipe;
+  if (!field->is_number() || !(field->get<double>() > 0))
+    throw ConfigError("LB_CONFIG: limits.memory_mb is no size");
+  const double share = field->get<double>() * 1024 * 1024 / 8 / (static_cast<double>(sockets) / 2);
+  return static_cast<std::size_t>(std::clamp<double>(share, kLeastPipe, kMostPipe));
+}
+
 // The environment first: each process of an upgrade has an address of its own there.
 std::optional<Endpoint> Admin(const std::function<const char*(const char*)>& variable, const json& file) {
   if (const char* text = variable("LB_ADMIN"); text != nullptr && *text != '\0') {
@@ -121,6 +133,7 @@
     config.keep = std::string(folder) + "/mothrack";
   }
   config.sockets = Sockets(file);
+  config.pipe = Pipe(file, config.sockets);
   config.settings = ReadSettings(file);
   // The file can be replaced while the process runs, its environment can't: what the file says is newer.
   if (const auto discovery = file.find("discovery"); discovery != file.end()) {
--- a/node/config.h
+++ b/node/config.h
@@ -30,6 +30,7 @@
   std::string keep;               // where what survives an upgrade is kept; empty: nowhere
   std::uint64_t seed = 0;
   std::size_t sockets = 0;
+  std::size_t pipe = 0;  // bytes held of a body that passes through
   nlohmann::json known;  // the list of upstreams as last held, in discovery's form; null where there is none
   kestrellb::Settings settings;
 };
--- a/node/http.h
+++ b/node/http.h
@@ -16,7 +16,11 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+// Up to here a body is held whole, so that it can be sent again; what is larger passes through in pieces.
 constexpr std::uint64_t kMostBody = 64 * 1024;
+constexpr std::uint64_t kMostPassing = 32 * 1024 * 1024;
+// What is read of a body at a time.
+constexpr std::size_t kPiece = 8 * 1024;
 constexpr std::uint32_t kMostHeader = 16 * 1024;
 // What a connection reads ahead of its parser.
 constexpr std::size_t kMostRead = 32 * 1024;
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -5,8 +5,11 @@
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
 #include <optional>
@@ -32,9 +35,19 @@
 // request by then, goes before those.
 constexpr Duration kSilent = seconds(1);
 constexpr Duration kSlow = seconds(1);
+// A body may come slowly, but it has to come: after kStalled at this many bytes a second, and never so long
+// without one.
+constexpr double kLeastRate = 32 * 1024;
+constexpr Duration kSilentBody = seconds(1);
+// A client that takes nothing of a body that passes through for so long is gone; it may read slowly.
+constexpr Duration kStuckReader = seconds(10);
+// Small, or the system would take megabytes for a client that reads slowly, and hide that it stopped.
+constexpr int kSendBuffer = 64 * 1024;
 // After a last answer the client's close is waited for: a reset could overtake the answer. Short, as a
 // planned stop waits for it too.
 constexpr Duration kLinger = milliseconds(250);
+// One that was still sending its request when it got its answer may look at it only afterwards.
+constexpr Duration kLongLinger = seconds(2);
 // Whoever sends on for long after the last answer gets the reset: reading megabytes to the end is no service.
 constexpr std::size_t kMostLinger = 256 * 1024;
 constexpr std::size_t kReadSize = 8192;
@@ -66,6 +79,11 @@
     error_code ignored;
     socket_.close(ignored);
     slot_.reset();
+    EndUpload();
+    if (answer_) {
+      answer_->on_data = nullptr;
+      std::exchange(answer_, nullptr)->Leave();
+    }
     if (owner_ != nullptr) owner_->connections_.erase(shared_from_this());
     if (const auto gone = std::exchange(gone_, nullptr)) gone();
   }
@@ -103,12 +121,19 @@
 
   // Ends what has had its time.
   void CloseIfOverdue(TimePoint now) {
-    if (closed_ || state_ == State::kServing ||
-        now - since_ <= (state_ == State::kLingering ? kLinger : kStalled))
-      return;
-    if (state_ != State::kReading) return Close();
-    if (started_) return Reject(http::status::request_timeout, "request did not come in time");
-    if (unused_) Close();
+    if (closed_) return;
+    const Duration age = now - since_;
+    if (upload_ || (state_ == State::kReading && started_)) {
+      if (Stalled(now)) Reject(http::status::request_timeout, "request did not come in time");
+    } else if (state_ == State::kReading) {
+      if (unused_ && age > kStalled) Close();
+    } else if (state_ == State::kLingering) {
+      if (age > linger_) Close();
+    } else if (state_ == State::kWriting && answer_) {
+      if (writing_ && age > kStuckReader) Close();
+    } else if (state_ == State::kWriting) {
+      if (Seconds(age - kStalled) > static_cast<double>(response_.body().size()) / kLeastRate) Close();
+    }
   }
 
   bool Fresh(TimePoint now) const { return unused_ && now - since_ < kFreshConnection; }
@@ -116,9 +141,22 @@
  private:
   enum class State { kReading, kServing, kWriting, kLingering };
 
+  static double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+
+  // Is a request that has begun to come overdue? Nobody is to blame for bytes there is no room for.
+  bool Stalled(TimePoint now) const {
+    const Duration age = now - since_;
+    if (age <= kStalled || (upload_ && !upload_->HasRoom())) return false;
+    return arrived_ == 0 || now - last_byte_ > kSilentBody ||
+           static_cast<double>(arrived_) < Seconds(age - kStalled) * kLeastRate;
+  }
+
   void NewParser() {
     parser_.emplace();
-    parser_->body_limit(kMostBody);
+    parser_->body_limit(kMostPassing);
+    body_.clear();
+    body_.shrink_to_fit();
+    arrived_ = 0;
     parser_->header_limit(kMostHeader);
     started_ = false;
     head_checked_ = false;
@@ -151,17 +189,18 @@
 
   void Progress() {
     if (state_ == State::kLingering) {
-      lingered_ += buffer_.size();
+      if (linger_ == kLinger) lingered_ += buffer_.size();
       buffer_.consume(buffer_.size());
       if (lingered_ > kMostLinger) return Close();
     }
-    if (state_ == State::kReading) Parse();
+    Parse();
     Read();
   }
 
   void Parse() {
-    while (state_ == State::kReading && buffer_.size() > 0) {
+    while ((state_ == State::kReading || upload_) && buffer_.size() > 0) {
       if (!std::exchange(started_, true) && !std::exchange(unused_, false)) since_ = Now();
+      if (upload_ && !upload_->HasRoom()) return;
       if (!parser_->is_header_done()) {
         const Head head = LookAtHead(Unparsed(), scanned_);
         if (head == Head::kPartial) return;
@@ -169,21 +208,80 @@
       }
       // Not in one go with the header: Beast 1.74 then forgets that the body is beyond the bound.
       parser_->eager(parser_->is_header_done());
+      char piece[kPiece];
+      parser_->get().body() = {piece, sizeof piece, true};
       error_code error;
       const std::size_t used = parser_->put(buffer_.data(), error);
       buffer_.consume(used);
-      if (error == http::error::need_more) error = {};
+      const std::size_t size = sizeof piece - parser_->get().body().size;
+      if (error == http::error::need_more || error == http::error::need_buffer) error = {};
       if (error == http::error::body_limit) return Reject(http::status::payload_too_large, "body too large");
       if (error) return Reject(http::status::bad_request, error.message());
       if (parser_->is_header_done() && !std::exchange(head_checked_, true)) {
         if (const char* fault = FramingFault(parser_->get())) return Reject(http::status::bad_request, fault);
+        if (parser_->content_length().value_or(0) > kMostPassing) {
+          return Reject(http::status::payload_too_large, "body too large");
+        }
         Continue();
       }
-      if (parser_->is_done()) return Serve();
+      if (size > 0) Arrived(piece, size);
+      if (closed_ || (state_ != State::kReading && !upload_)) return;  // it has its answer already
+      if (parser_->is_done()) return Whole();
       if (used == 0) return;
     }
   }
 
+  void Arrived(const char* bytes, std::size_t size) {
+    arrived_ += size;
+    last_byte_ = Now();
+    if (upload_) return upload_->Put(bytes, size);
+    body_.append(bytes, size);
+    if (body_.size() > kMostBody) BeginUpload();
+  }
+
+  // Whoever sent all that means the rest as well: it passes through from here on.
+  void BeginUpload() {
+    upload_ = std::make_shared<BodyPipe>(owner_->io_, owner_->pipe_, parser_->content_length());
+    upload_->on_room = [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (!self || self->closed_ || !self->upload_) return;
+      self->since_ = self->last_byte_ = Now();
+      self->arrived_ = 1;
+      self->Progress();
+    };
+    upload_->Put(body_.data(), body_.size());
+    HttpRequest request;
+    request.base() = parser_->get().base();
+    Hand(std::move(request), upload_);
+    body_.clear();
+    body_.shrink_to_fit();
+  }
+
+  void EndUpload() {
+    if (!upload_) return;
+    upload_->on_room = nullptr;
+    std::exchange(upload_, nullptr)->Break();
+  }
+
+  // The last byte of a request is there. Trailers have joined the head. And what follows a body must begin
+  // like a request, or its length was wrong.
+  void Whole() {
+    std::size_t scanned = 0;
+    const char* fault = FramingFault(parser_->get());
+    if (!fault && buffer_.size() > 0 && LookAtHead(Unparsed(), scanned) == Head::kBad) {
+      fault = "no request behind the body";
+    }
+    if (fault) return Reject(http::status::bad_request, fault);
+    if (upload_) {
+      upload_->on_room = nullptr;
+      return std::exchange(upload_, nullptr)->Finish();
+    }
+    HttpRequest request;
+    request.base() = std::move(parser_->get().base());
+    request.body() = std::move(body_);
+    Hand(std::move(request), nullptr);
+  }
+
   boost::beast::string_view Unparsed() const {
     return {static_cast<const char*>(buffer_.data().data()), buffer_.data().size()};
   }
@@ -192,7 +290,8 @@
   // request.
   void Reject(http::status status, const std::string& why) {
     close_after_ = true;
-    Answer(PlainResponse(status, why));
+    if (const auto gone = std::exchange(gone_, nullptr)) gone();
+    Answer(PlainResponse(status, why), nullptr);
   }
 
   // A client that asked whether to go on waits for this before it sends the body.
@@ -203,15 +302,7 @@
     socket_.write_some(boost::asio::buffer(kGoOn, sizeof kGoOn - 1), ignored);
   }
 
-  void Serve() {
-    HttpRequest request = parser_->release();
-    // Trailers have joined the head. And what follows a body must begin like a request, or its length was
-    // wrong.
-    if (const char* fault = FramingFault(request)) return Reject(http::status::bad_request, fault);
-    std::size_t scanned = 0;
-    if (buffer_.size() > 0 && LookAtHead(Unparsed(), scanned) == Head::kBad) {
-      return Reject(http::status::bad_request, "no request behind the body");
-    }
+  void Hand(HttpRequest request, Body body) {
     if (!request.keep_alive()) close_after_ = true;
     version_ = request.version();
     const auto target = request.target();
@@ -220,23 +311,28 @@
       // What another process serves is up: no client is to stay away.
       const bool up = owner_->handed_over_ ? !owner_->away_ : !owner_->Leaving();
       return Answer(!up ? PlainResponse(http::status::service_unavailable, "draining")
-                        : PlainResponse(http::status::ok, "up"));
+                        : PlainResponse(http::status::ok, "up"),
+                    nullptr);
     }
-    auto reply = [self = shared_from_this()](HttpResponse response) {
+    auto reply = [self = shared_from_this()](HttpResponse response, Body answer) {
       self->gone_ = nullptr;
-      if (!self->closed_) self->Answer(std::move(response));
+      if (!self->closed_) return self->Answer(std::move(response), std::move(answer));
+      if (answer) answer->Leave();
     };
-    auto gone = owner_->on_request_(std::move(request), std::move(reply));
+    auto gone = owner_->on_request_(std::move(request), std::move(body), std::move(reply));
     if (state_ == State::kServing) gone_ = std::move(gone);
   }
 
-  void Answer(HttpResponse response) {
+  void Answer(HttpResponse response, Body body) {
     state_ = State::kWriting;
     since_ = Now();
+    if (upload_) close_after_ = true, linger_ = kLongLinger;
+    EndUpload();
     // The one who finds a request unfit asks for the close by the answer.
     if (!response.keep_alive() || (owner_ != nullptr && owner_->Leaving())) close_after_ = true;
     response_ = std::move(response);
     response_.version(version_);
+    if (body) return Pass(std::move(body));
     response_.keep_alive(!close_after_);
     response_.prepare_payload();
     http::async_write(socket_, response_, [self = shared_from_this()](error_code error, std::size_t) {
@@ -246,7 +342,70 @@
     });
   }
 
+  // An answer of which only the head and a piece are here. It must be plain to the client where it ends, or
+  // that it broke.
+  void Pass(Body body) {
+    answer_ = std::move(body);
+    chunked_ = !answer_->length() && version_ >= 11;
+    if (!answer_->length() && !chunked_) close_after_ = true;
+    response_.keep_alive(!close_after_);
+    if (chunked_) response_.chunked(true);
+    if (answer_->length()) response_.content_length(answer_->length());
+    error_code ignored;
+    socket_.set_option(boost::asio::socket_base::send_buffer_size(kSendBuffer), ignored);
+    answer_->on_data = [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && !self->closed_ && self->answer_ && !self->writing_) self->PassPiece();
+    };
+    head_.emplace(response_);
+    writing_ = true;
+    http::async_write_header(
+        socket_, *head_, [self = shared_from_this()](error_code error, std::size_t) { self->Passed(error); });
+  }
+
+  void Passed(error_code error) {
+    if (closed_ || owner_ == nullptr) return;
+    if (error) return Close();
+    since_ = Now();
+    PassPiece();
+  }
+
+  void PassPiece() {
+    writing_ = false;
+    if (answer_->broken()) return Reset();
+    const bool ended = answer_->ended();
+    if (!ended) {
+      passing_ = answer_->Take();
+      if (passing_.empty()) return;  // woken when there is more
+    }
+    const auto passed = [self = shared_from_this(), ended](error_code error, std::size_t) {
+      if (!ended) return self->Passed(error);
+      if (self->closed_ || self->owner_ == nullptr) return;
+      if (error) return self->Close();
+      self->Answered();
+    };
+    writing_ = true;
+    since_ = Now();
+    if (ended && chunked_) return boost::asio::async_write(socket_, http::make_chunk_last(), passed);
+    if (ended) return Answered();
+    const auto bytes = boost::asio::buffer(passing_);
+    if (chunked_) return boost::asio::async_write(socket_, http::make_chunk(bytes), passed);
+    boost::asio::async_write(socket_, bytes, passed);
+  }
+
+  // An end in good order could be taken for the end of the answer.
+  void Reset() {
+    error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+
   void Answered() {
+    if (answer_) answer_->on_data = nullptr;
+    answer_ = nullptr;
+    head_.reset();
+    passing_ = {};
+    writing_ = false;
     response_ = {};
     if (close_after_) {
       state_ = State::kLingering;
@@ -264,8 +423,18 @@
   std::optional<Descriptors::Slot> slot_;
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::request_parser<http::buffer_body>> parser_;
+  std::string body_;  // of a request that is still to come whole
+  Body upload_;       // of one that passes through, until its last byte has come
+  std::uint64_t arrived_ = 0;
+  TimePoint last_byte_;
   HttpResponse response_;
+  Body answer_;  // that passes through
+  std::optional<http::response_serializer<http::string_body>> head_;
+  std::string passing_;
+  bool writing_ = false;
+  bool chunked_ = false;
+  Duration linger_ = kLinger;
   OnGone gone_;
   State state_ = State::kReading;
   TimePoint since_;  // of the state, or of a request's first byte
@@ -281,8 +450,10 @@
 };
 
 Listener::Listener(boost::asio::io_context& io, const Endpoint& endpoint, bool shared,
-                   std::optional<int> listening, Descriptors& descriptors, Logger& log, OnRequest on_request)
+                   std::optional<int> listening, std::size_t pipe, Descriptors& descriptors, Logger& log,
+                   OnRequest on_request)
     : io_(io),
+      pipe_(pipe),
       descriptors_(descriptors),
       log_(log),
       on_request_(std::move(on_request)),
--- a/node/listener.h
+++ b/node/listener.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 
+#include "body.h"
 #include "clock.h"
 #include "config.h"
 #include "descriptors.h"
@@ -19,16 +20,18 @@
 
 class Listener {
  public:
-  using Reply = std::function<void(HttpResponse)>;
+  // `body`: of an answer that passes through; null where the answer is whole.
+  using Reply = std::function<void(HttpResponse, Body body)>;
   // What is to be done when the client leaves before its answer.
   using OnGone = std::function<void()>;
-  // Takes one request and calls `reply` once, perhaps at once.
-  using OnRequest = std::function<OnGone(HttpRequest request, Reply reply)>;
+  // Takes one request and calls `reply` once, perhaps at once. `body`: of a request that passes through.
+  using OnRequest = std::function<OnGone(HttpRequest request, Body body, Reply reply)>;
 
+  // `pipe`: how much of a body that passes through is held.
   // Binds and listens, with other processes where it is `shared`, or takes over `listening`, a socket that
   // does so already; throws boost::system::system_error.
   Listener(boost::asio::io_context& io, const Endpoint& endpoint, bool shared, std::optional<int> listening,
-           Descriptors& descriptors, Logger& log, OnRequest on_request);
+           std::size_t pipe, Descriptors& descriptors, Logger& log, OnRequest on_request);
   ~Listener();
 
   void Start();  // takes clients from now on; once is enough
@@ -57,6 +60,7 @@
   bool Leaving() const { return away_ || drained_; }
 
   boost::asio::io_context& io_;
+  const std::size_t pipe_;
   Descriptors& descriptors_;
   Logger& log_;
   const OnRequest on_request_;
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -57,9 +57,9 @@
 bool GoodId(string_view id) { return !id.empty() && id.size() <= kLongestId && Visible(id); }
 
 // Does the method tell the same as the class? What contradicts itself could be repeated against its class.
-bool Fits(const HttpRequest& request, kestrellb::Effect effect) {
+bool Fits(const HttpRequest& request, bool more, kestrellb::Effect effect) {
   if (effect == kestrellb::Effect::kSafe) {
-    return request.method() == http::verb::get && request.body().empty();
+    return request.method() == http::verb::get && request.body().empty() && !more;
   }
   const auto key = Single(request, "Idempotency-Key");
   const bool keyed = key && GoodId(*key);
@@ -135,7 +135,7 @@
       descriptors_(config.sockets, Descriptors::kFixed + (config.admin ? Admin::kDescriptors : 0)),
       handover_(io, config.keep, log_, [this] { FollowOther(); }),
       balancer_(config.settings, config.seed),
-      upstreams_(io, config.settings.limits, config.settings.load_by_probe, descriptors_),
+      upstreams_(io, config.settings.limits, config.settings.load_by_probe, config.pipe, descriptors_),
       discovery_(
           io, config.discovery, config.settings.membership_on_request, unix_clock_, log_,
           [this](MembershipList list) {
@@ -148,9 +148,9 @@
           }),
       timer_(io),
       patience_(io),
-      listener_(io, config.listen, config.admin.has_value(), Listening(handover_, config.listen),
-                descriptors_, log_, [this](HttpRequest request, Listener::Reply reply) {
-                  return Take(std::move(request), std::move(reply));
+      listener_(io, config.listen, config.admin.has_value(), Listening(handover_, config.listen), config.pipe,
+                descriptors_, log_, [this](HttpRequest request, Body body, Listener::Reply reply) {
+                  return Take(std::move(request), std::move(body), std::move(reply));
                 }) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
     classes_.emplace(settings_.classes[i].name, kestrellb::ClassId{i});
@@ -307,10 +307,10 @@
   Pump();
 }
 
-Listener::OnGone Sidecar::Take(HttpRequest request, Listener::Reply reply) {
+Listener::OnGone Sidecar::Take(HttpRequest request, Body body, Listener::Reply reply) {
   const TimePoint now = Now();
   const auto bad = [&reply](const std::string& why) {
-    reply(Unfit(why));
+    reply(Unfit(why), nullptr);
     return nullptr;
   };
   RemoveHopByHop(request);  // first: `Connection` may name what is checked below
@@ -318,7 +318,8 @@
   const auto cls = classes_.find(std::string(FirstPart(request.target())));
   if (cls == classes_.end()) return bad("unknown class");
   const auto& known = settings_.classes[static_cast<std::size_t>(cls->second)];
-  if (!Fits(request, known.effect)) return bad("method or Idempotency-Key does not fit the class");
+  if (!Fits(request, body != nullptr, known.effect))
+    return bad("method or Idempotency-Key does not fit the class");
   const auto wire_id = Single(request, "X-Request-ID");
   if (!wire_id || !GoodId(*wire_id)) return bad("missing or bad X-Request-ID");
   const auto timeout_text = Single(request, "X-Timeout-Ms");
@@ -340,6 +341,7 @@
   }
   if (const auto cost = Whole<std::uint32_t>(request["X-Cost"])) event.work = Duration(*cost);
   event.client_retry = request["X-Retried"] == "1";
+  event.open = body != nullptr;
 
   Pending pending;
   pending.wire_id = key;
@@ -347,11 +349,33 @@
   pending.deadline = event.deadline;
   pending.reply = std::move(reply);
   const RequestId id = event.request;
+  if (body) {
+    pending.deadline = TimePoint::max();
+    body->on_end = [this, id, timeout = event.deadline - now] { BodyEnded(id, timeout); };
+    pending.body = std::move(body);
+  }
   requests_.emplace(id, std::move(pending));
   Deliver(event);
   return [this, id] { Gone(id); };
 }
 
+void Sidecar::BodyEnded(RequestId id, Duration timeout) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || !it->second.reply || !it->second.body->finished()) return;
+  it->second.deadline = Now() + timeout;
+  Deliver(kestrellb::RequestWhole{id, it->second.deadline});
+}
+
+void Sidecar::Started(RequestId id, AttemptId attempt, HttpResponse head, Body body) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || !it->second.reply) return body->Leave();
+  head.version(11);
+  RemoveHopByHop(head);
+  it->second.answering = attempt;
+  Answer(it->second, std::move(head), std::move(body));
+  Deliver(kestrellb::AnswerStarted{id, attempt});
+}
+
 void Sidecar::Gone(RequestId id) {
   const auto it = requests_.find(id);
   if (it == requests_.end() || !it->second.reply) return;
@@ -374,26 +398,32 @@
     RemoveHopByHop(response);
     Answer(pending, std::move(response));
   }
-  Deliver(AttemptEnded{id, attempt, result.outcome, result.elapsed, !pending.reply, result.load,
-                       result.use > 1 ? std::optional(result.idle) : std::nullopt});
+  // While an answer passes through, the end of another attempt is not the request's.
+  const bool finished = !pending.reply && pending.answering.value_or(attempt) == attempt;
+  Deliver(AttemptEnded{id, attempt, result.outcome, result.elapsed, finished, result.load,
+                       result.use > 1 ? std::optional(result.idle) : std::nullopt,
+                       pending.body && pending.body->touched()});
   ForgetIfDone(id);
 }
 
 // One line for each attempt that ended badly, so that a request can be followed by its id.
 void Sidecar::LogBad(const Pending& pending, const std::string& upstream, std::size_t attempt,
                      const ExchangeResult& result) {
+  const bool passing = pending.answering && static_cast<std::size_t>(*pending.answering) == attempt;
   const char* how = Name(result.outcome);
+  if (passing && result.outcome == Outcome::kCancelled) how = "called off, its client left";
   if (how == nullptr) return;
   const auto us = [](Duration d) { return std::to_string(d.count()) + " us"; };
   log_.Line(pending.wire_id + " " + std::string(pending.message->target()) + " to " + upstream + " attempt " +
-            std::to_string(attempt) + " " + how + " after " + us(result.elapsed) + " as exchange " +
-            std::to_string(result.use) + " of a connection open for " + us(result.open) + ", idle for " +
-            us(result.idle) + (result.why ? ": " + result.why.message() : ""));
+            std::to_string(attempt) + (passing ? " passing through " : " ") + how + " after " +
+            us(result.elapsed) + " as exchange " + std::to_string(result.use) + " of a connection open for " +
+            us(result.open) + ", idle for " + us(result.idle) +
+            (result.why ? ": " + result.why.message() : ""));
 }
 
-void Sidecar::Answer(Pending& pending, HttpResponse response) {
+void Sidecar::Answer(Pending& pending, HttpResponse response, Body body) {
   const auto reply = std::exchange(pending.reply, nullptr);
-  if (reply) reply(std::move(response));
+  if (reply) reply(std::move(response), std::move(body));
 }
 
 // While events wait their attempts are still needed: their turn comes with the last of them.
@@ -424,7 +454,11 @@
                           ExchangeResult result) { Ended(id, attempt, uid, std::move(result)); };
   // The client left or has its answer: nothing more is sent for it.
   if (!pending.reply) return on_end({Outcome::kNotSent, {}, {}, {}});
-  upstreams_.Send(exchange, action.upstream.value, pending.message, action.timeout, action.max_idle, on_end);
+  const auto on_start = [this, id = action.request, attempt](HttpResponse head, Body body) {
+    Started(id, attempt, std::move(head), std::move(body));
+  };
+  upstreams_.Send(exchange, action.upstream.value,
+                  {pending.message, pending.body, action.timeout, action.max_idle, on_start, on_end});
 }
 
 void Sidecar::CarryOut(const kestrellb::CancelAttempt& action) {
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -48,22 +48,27 @@
   struct Pending {
     std::string wire_id;
     std::shared_ptr<const HttpRequest> message;
+    Body body;  // of a request that passes through
     TimePoint deadline;
     Listener::Reply reply;  // empty once the request has its answer or its client is gone
     std::vector<Upstreams::ExchangeId> attempts;
-    std::size_t out = 0;  // attempts that have not ended
+    std::size_t out = 0;                            // attempts that have not ended
+    std::optional<kestrellb::AttemptId> answering;  // the one whose answer passes through
   };
 
   void Deliver(kestrellb::Event event);
   void Pump();
   void Apply(MembershipList list);
-  Listener::OnGone Take(HttpRequest request, Listener::Reply reply);
+  Listener::OnGone Take(HttpRequest request, Body body, Listener::Reply reply);
+  // The last byte of a request that passes through has come, or it never will.
+  void BodyEnded(kestrellb::RequestId id, Duration timeout);
+  void Started(kestrellb::RequestId id, kestrellb::AttemptId attempt, HttpResponse head, Body body);
   void Gone(kestrellb::RequestId id);
   void Ended(kestrellb::RequestId id, kestrellb::AttemptId attempt, const std::string& upstream,
              ExchangeResult result);
   void LogBad(const Pending& pending, const std::string& upstream, std::size_t attempt,
               const ExchangeResult& result);
-  void Answer(Pending& pending, HttpResponse response);
+  void Answer(Pending& pending, HttpResponse response, Body body = nullptr);
   void ForgetOldIds(TimePoint now);
   void ForgetIfDone(kestrellb::RequestId id);
   void ArmTimer();
--- a/node/upstreams.cpp
+++ b/node/upstreams.cpp
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -29,6 +32,14 @@
 constexpr Duration kIdleMargin = milliseconds(500);
 constexpr auto kSweep = milliseconds(250);
 
+// An answer of unknown length is held back for so long, in case it is a short one, that another upstream
+// could still give where this one breaks.
+constexpr Duration kHoldBack = milliseconds(100);
+// What passes through may come and go slowly; a peer that does nothing for so long is gone.
+constexpr Duration kSilentPeer = std::chrono::seconds(10);
+// The system must not take megabytes for a client that reads slowly.
+constexpr int kReceiveBuffer = 128 * 1024;
+
 // Interim answers ahead of the one answer; more are no honest upstream's.
 constexpr int kMostInterim = 8;
 // No load is beyond this, whatever its unit.
@@ -71,13 +82,13 @@
   return load;
 }
 
-// Does the head tell where a served answer ends? One that ends with its connection can't be told from one
-// that was cut short.
-bool TellsItsEnd(const http::response_parser<http::string_body>& parser) {
-  const auto& header = parser.get();
+// Does the head tell in one way where a served answer ends? With its connection is one, too.
+bool TellsItsEnd(const http::response_header<>& header) {
   const auto codings = header.count(http::field::transfer_encoding);
-  if (codings == 0) return parser.content_length().has_value();
-  return codings == 1 && boost::beast::iequals(header[http::field::transfer_encoding], "chunked");
+  const auto lengths = header.count(http::field::content_length);
+  if (codings == 0) return lengths <= 1;
+  return codings == 1 && lengths == 0 &&
+         boost::beast::iequals(header[http::field::transfer_encoding], "chunked");
 }
 
 Outcome Classify(const http::response_header<>& header) {
@@ -112,17 +123,17 @@
     return error;
   }
 
-  void Start(ExchangeId id, std::shared_ptr<const HttpRequest> request, Duration timeout, OnEnd on_end) {
+  void Start(ExchangeId id, Call call) {
     id_ = id;
-    request_ = std::move(request);
-    on_end_ = std::move(on_end);
+    call_ = std::move(call);
+    whole_ = false;
     sent_ = Now();
     if (connected_) {
       idle_ = sent_ - idle_since_;
     } else {
       opened_ = sent_;
     }
-    gives_up_ = sent_ + timeout;
+    gives_up_ = sent_ + call_.timeout;
     phase_ = connected_ ? Phase::kWriting : Phase::kConnecting;
     ++use_;
     interim_ = 0;
@@ -167,6 +178,10 @@
     socket_.close(ignored);
     timer_.cancel();
     slot_.reset();
+    LeaveBody();
+    if (!passing_) return;
+    passing_->on_room = nullptr;
+    std::exchange(passing_, nullptr)->Break();
   }
 
   // Did the upstream close it, or say something nobody asked for? Asked before each use: the event may not
@@ -193,18 +208,25 @@
       if (error || self->closed_ || self->phase_ == Phase::kIdle) return;
       // Guards against a timer that fired just before it was set anew.
       if (self->timer_.expiry() > std::chrono::steady_clock::now()) return;
+      if (std::exchange(self->holds_back_, false)) return self->StopHoldingBack();
       self->End(Cause::kTimeout);
     });
   }
 
+  // Its handler may be on its way already: it looks at the time.
+  void DisarmTimer() { timer_.expires_at(std::chrono::steady_clock::time_point::max()); }
+
   void Write() {
-    message_.emplace(request_->method(), request_->target(), 11);
-    message_->base() = request_->base();
+    const HttpRequest& request = *call_.request;
+    message_.emplace(request.method(), request.target(), 11);
+    message_->base() = request.base();
     message_->version(11);
     // The peer learns how long it will be waited for from now on, which is what is left after connecting.
-    const auto left = std::chrono::duration_cast<milliseconds>(gives_up_ - Now()).count();
+    const Duration wait = call_.body ? call_.timeout : Duration(gives_up_ - Now());
+    const auto left = std::chrono::duration_cast<milliseconds>(wait).count();
     message_->set("X-Timeout-Ms", std::to_string(std::max<std::int64_t>(left, 1)));
-    message_->body() = {request_->body().data(), request_->body().size()};
+    if (call_.body) return WriteHead();
+    message_->body() = {request.body().data(), request.body().size()};
     message_->prepare_payload();
     serializer_.emplace(*message_);
     write_pending_ = true;
@@ -217,9 +239,70 @@
     });
   }
 
+  // A request that passes through: its head, then its pieces as they come.
+  void WriteHead() {
+    if (call_.body->length()) {
+      message_->content_length(call_.body->length());
+    } else {
+      message_->chunked(true);
+    }
+    serializer_.emplace(*message_);
+    call_.body->on_data = [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && !self->closed_ && self->call_.body && !self->write_pending_ && !self->whole_)
+        self->WritePiece();
+    };
+    write_pending_ = true;
+    ArmTimer(Now() + kSilentPeer);
+    http::async_write_header(
+        socket_, *serializer_,
+        [self = shared_from_this()](error_code error, std::size_t) { self->PieceWritten(error, false); });
+  }
+
+  void WritePiece() {
+    if (call_.body->broken()) return;  // whoever took the request calls this off
+    outgoing_ = call_.body->Take();
+    const bool chunked = !call_.body->length();
+    const bool last = call_.body->ended() && (outgoing_.empty() || !chunked);
+    if (outgoing_.empty() && !last) return DisarmTimer();
+    if (outgoing_.empty() && !chunked) return Written();
+    const auto written = [self = shared_from_this(), last](error_code error, std::size_t) {
+      self->PieceWritten(error, last);
+    };
+    write_pending_ = true;
+    ArmTimer(Now() + kSilentPeer);
+    if (outgoing_.empty()) return boost::asio::async_write(socket_, http::make_chunk_last(), written);
+    const auto bytes = boost::asio::buffer(outgoing_);
+    if (chunked) return boost::asio::async_write(socket_, http::make_chunk(bytes), written);
+    boost::asio::async_write(socket_, bytes, written);
+  }
+
+  void PieceWritten(error_code error, bool last) {
+    write_pending_ = false;
+    whole_ = last && !error;
+    if (ending_) return Finish(*ending_);
+    if (closed_) return;
+    if (error) return End(Cause::kBroken, error);
+    if (whole_) return Written();
+    WritePiece();
+  }
+
+  // Its time counts from here.
+  void Written() {
+    whole_ = true;
+    phase_ = Phase::kWaiting;
+    sent_ = Now();
+    gives_up_ = sent_ + call_.timeout;
+    ArmTimer(gives_up_);
+  }
+
+  void LeaveBody() {
+    if (call_.body) call_.body->on_data = nullptr;
+  }
+
   void Read() {
     parser_.emplace();
-    parser_->body_limit(kMostBody);
+    parser_->body_limit(kMostPassing);
     parser_->header_limit(kMostHeader);
     // The header on its own first: Beast 1.74 forgets that the body is beyond the bound where the first of
     // the body comes along with the header, and would take all of it.
@@ -238,27 +321,94 @@
       return Read();
     }
     // Nor does an upstream have an answer before it has the whole request.
-    if (status == 200 && (write_pending_ || !TellsItsEnd(*parser_))) return End(Cause::kBroken);
-    ReadBody();
+    const bool early = write_pending_ || (call_.body && !whole_);
+    if (status == 200 && (early || !TellsItsEnd(parser_->get()))) return End(Cause::kBroken);
+    if (status == 200 && parser_->content_length().value_or(0) > kMostBody) {
+      Begin();
+    } else if (status == 200 && !parser_->content_length()) {
+      holds_back_ = true;
+      ArmTimer(std::min(gives_up_, Now() + kHoldBack));
+    }
+    if (!closed_) ReadBody();
+  }
+
+  // The answer passes through from here on: what has come of it, and what will.
+  void Begin() {
+    holds_back_ = false;
+    if (!call_.on_start) return End(Cause::kBroken, http::error::body_limit);
+    passing_ = std::make_shared<BodyPipe>(owner_.io_, owner_.pipe_, parser_->content_length());
+    passing_->on_room = [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (!self || self->closed_ || !self->passing_) return;
+      if (self->passing_->left()) return self->End(Cause::kCancelled);
+      if (std::exchange(self->paused_, false)) self->ReadBody();
+    };
+    error_code ignored;
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(kReceiveBuffer), ignored);
+    if (!held_.empty()) passing_->Put(held_.data(), held_.size());
+    held_ = {};
+    ArmTimer(Now() + kSilentPeer);
+    HttpResponse head;
+    head.base() = parser_->get().base();
+    call_.on_start(std::move(head), passing_);
+  }
+
+  // The rest may take its time. A read is under way.
+  void StopHoldingBack() {
+    if (!held_.empty()) return Begin();
+    holds_back_ = Now() < gives_up_;
+    if (!holds_back_) return End(Cause::kTimeout);
+    ArmTimer(std::min(gives_up_, Now() + kHoldBack));
   }
 
   void ReadBody() {
-    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
-      if (!self->closed_) self->OnRead(error);
-    });
+    if (parser_->is_done()) return OnWhole();
+    if (passing_ && !passing_->HasRoom()) {
+      paused_ = true;
+      return DisarmTimer();
+    }
+    if (passing_) ArmTimer(Now() + kSilentPeer);
+    piece_.resize(kPiece);
+    parser_->get().body() = {piece_.data(), piece_.size(), true};
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](error_code error, std::size_t) {
+                            if (!self->closed_) self->OnPiece(error);
+                          });
   }
 
-  void OnRead(error_code error) {
-    if (error) return End(Cause::kBroken, error);
-    HttpResponse response = parser_->release();
+  void OnPiece(error_code error) {
+    const std::size_t size = piece_.size() - parser_->get().body().size;
+    if (error && error != http::error::need_buffer) return End(Cause::kBroken, error);
+    if (passing_) {
+      passing_->Put(piece_.data(), size);
+    } else {
+      held_.append(piece_, 0, size);
+      const bool served = parser_->get().result_int() == 200;
+      if (held_.size() > kMostBody && !served) return End(Cause::kBroken, http::error::body_limit);
+      if (held_.size() > kMostBody) Begin();
+    }
+    if (!closed_) ReadBody();
+  }
+
+  void OnWhole() {
+    HttpResponse response;
+    response.base() = std::move(parser_->get().base());
+    response.body() = std::move(held_);
     ExchangeResult result = Result(Classify(response));
     result.load = ParseLoad(response["X-Server-Load"]);
     // An answer before the request was written out leaves the connection between messages.
-    const bool keep = response.keep_alive() && !write_pending_ && buffer_.size() == 0;
+    const bool keep = response.keep_alive() && !parser_->need_eof() && !write_pending_ &&
+                      (!call_.body || whole_) && buffer_.size() == 0;
     result.response = std::move(response);
     timer_.cancel();
+    holds_back_ = false;
+    if (passing_) {
+      passing_->on_room = nullptr;
+      std::exchange(passing_, nullptr)->Finish();
+    }
+    LeaveBody();
     phase_ = Phase::kIdle;
-    const auto on_end = std::exchange(on_end_, nullptr);
+    const auto on_end = std::exchange(call_.on_end, nullptr);
     const auto self = shared_from_this();
     owner_.exchanges_.erase(id_);
     if (keep) {
@@ -274,7 +424,10 @@
 
   // An idle connection keeps nothing of its last exchange.
   void Clear() {
-    request_.reset();
+    call_ = {};
+    held_ = {};
+    piece_ = {};
+    outgoing_ = {};
     serializer_.reset();
     message_.reset();
     parser_.reset();
@@ -291,13 +444,13 @@
   }
 
   void Finish(Cause cause) {
-    const bool written = serializer_ && serializer_->is_done();
+    const bool written = call_.body ? whole_ : serializer_ && serializer_->is_done();
     Outcome outcome = Outcome::kNotSent;
     if (cause == Cause::kBroken) outcome = written ? Outcome::kReset : Outcome::kConnectFailed;
     if (cause == Cause::kTimeout) outcome = written ? Outcome::kTimeout : Outcome::kConnectFailed;
     if (cause == Cause::kCancelled) outcome = Outcome::kCancelled;
     phase_ = Phase::kIdle;
-    const auto on_end = std::exchange(on_end_, nullptr);
+    const auto on_end = std::exchange(call_.on_end, nullptr);
     const auto self = shared_from_this();
     owner_.exchanges_.erase(id_);
     on_end(Result(outcome));
@@ -313,7 +466,7 @@
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
   std::optional<http::request<http::span_body<const char>>> message_;
   std::optional<http::request_serializer<http::span_body<const char>>> serializer_;
   Phase phase_ = Phase::kIdle;
@@ -324,8 +477,14 @@
   std::uint64_t use_ = 0;  // counts the exchanges: a watch that one outran is void
   int interim_ = 0;
   ExchangeId id_{};
-  std::shared_ptr<const HttpRequest> request_;
-  OnEnd on_end_;
+  Call call_;
+  bool whole_ = false;    // the last byte of a request that passes through is written
+  std::string outgoing_;  // a piece of it
+  std::string piece_;     // of the answer
+  std::string held_;      // the answer, while it does not pass through
+  bool holds_back_ = false;
+  Body passing_;         // the answer, where it does
+  bool paused_ = false;  // no room in it
   TimePoint sent_;
   TimePoint gives_up_;
   TimePoint idle_since_;
@@ -335,11 +494,12 @@
 };
 
 Upstreams::Upstreams(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
-                     Descriptors& descriptors)
+                     std::size_t pipe, Descriptors& descriptors)
     : io_(io),
       connect_timeout_(limits.connect_timeout),
       trusted_idle_(TrustedIdle(limits.idle_close)),
       probe_target_(load_by_probe ? "/metrics/load" : "/alive"),
+      pipe_(pipe),
       descriptors_(descriptors),
       sweep_(io) {
   ScheduleSweep();
@@ -398,27 +558,26 @@
   for (const auto& connection : unsent) connection->End(Connection::Cause::kNotSent);
 }
 
-void Upstreams::Send(ExchangeId id, const std::string& uid, std::shared_ptr<const HttpRequest> request,
-                     Duration timeout, Duration max_idle, OnEnd on_end) {
+void Upstreams::Send(ExchangeId id, const std::string& uid, Call call) {
   const auto it = pools_.find(uid);
   std::shared_ptr<Connection> connection;
   if (it != pools_.end() && MayOpen(*it->second)) {
-    connection = TakeIdle(*it->second, max_idle);
+    connection = TakeIdle(*it->second, call.max_idle);
     if (!connection) connection = Open(it->second);
   }
-  if (!connection) return on_end({Outcome::kNotSent, {}, {}, {}});
+  if (!connection) return call.on_end({Outcome::kNotSent, {}, {}, {}});
   exchanges_.emplace(id, connection);
-  connection->Start(id, std::move(request), timeout, std::move(on_end));
+  connection->Start(id, std::move(call));
 }
 
 void Upstreams::Probe(ExchangeId id, const std::string& uid, Duration max_idle, OnEnd on_end) {
   const auto request = std::make_shared<HttpRequest>(http::verb::get, probe_target_, 11);
   request->set(http::field::host, uid);
-  Send(id, uid, request, connect_timeout_, max_idle,
-       [by_body = probe_target_ != "/alive", on_end = std::move(on_end)](ExchangeResult result) {
-         if (by_body && result.outcome == Outcome::kServed) result.load = ParseLoad(result.response.body());
-         on_end(std::move(result));
-       });
+  auto ended = [by_body = probe_target_ != "/alive", on_end = std::move(on_end)](ExchangeResult result) {
+    if (by_body && result.outcome == Outcome::kServed) result.load = ParseLoad(result.response.body());
+    on_end(std::move(result));
+  };
+  Send(id, uid, {request, nullptr, connect_timeout_, max_idle, nullptr, std::move(ended)});
 }
 
 void Upstreams::Cancel(ExchangeId id) {
--- a/node/upstreams.h
+++ b/node/upstreams.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "body.h"
 #include "clock.h"
 #include "config.h"
 #include "descriptors.h"
@@ -42,11 +43,22 @@
 
 class Upstreams {
  public:
+  // An answer that passes through has begun.
+  using OnStart = std::function<void(HttpResponse head, Body body)>;
   using OnEnd = std::function<void(ExchangeResult)>;
+  struct Call {
+    std::shared_ptr<const HttpRequest> request;
+    Body body;            // of a request that passes through
+    Duration timeout{};   // from now; where the body passes through, from its last byte
+    Duration max_idle{};  // of the connection
+    OnStart on_start;
+    OnEnd on_end;
+  };
   enum class ExchangeId : std::uint64_t {};
 
+  // `pipe`: how much of a body that passes through is held.
   Upstreams(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
-            Descriptors& descriptors);
+            std::size_t pipe, Descriptors& descriptors);
   ~Upstreams();
 
   // What discovery tells of one upstream. Where it drains, is gone, moved or started anew, its idle
@@ -57,11 +69,10 @@
   // Taken out by the operators: as one that drains, whatever discovery tells of it.
   void TakeOut(const std::string& uid, bool out);
 
-  // `on_end` is called exactly once, also where nothing could be sent. `request` is sent with its
-  // X-Timeout-Ms set to the time-out, on a connection that has been idle for `max_idle` at most, or a new
-  // one.
-  void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const HttpRequest> request,
-            Duration timeout, Duration max_idle, OnEnd on_end);
+  // `on_end` is called exactly once, also where nothing could be sent, and `on_start` before it where the
+  // answer passes through. The request is sent with its X-Timeout-Ms set to the time-out, on a connection
+  // that has been idle for `max_idle` at most, or a new one.
+  void Send(ExchangeId id, const std::string& uid, Call call);
   void Probe(ExchangeId id, const std::string& uid, Duration max_idle, OnEnd on_end);
   // Stops waiting: the connection is closed.
   void Cancel(ExchangeId id);
@@ -94,6 +105,7 @@
   const Duration connect_timeout_;
   const Duration trusted_idle_;
   const std::string probe_target_;
+  const std::size_t pipe_;
   Descriptors& descriptors_;
   std::map<std::string, std::shared_ptr<Pool>> pools_;
   std::set<std::string> out_;
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -445,7 +445,8 @@
 
   // May this be sent again (or for the first time), to this upstream? The one gate to every attempt.
   bool MaySend(const Request& r, const Upstream& upstream) const {
-    if (r.ended || r.streaming || now_ >= r.deadline) return false;
+    if (r.ended || r.streaming || r.spent || (r.passing && AnyOut(r))) return false;
+    if (!r.open && now_ >= r.deadline) return false;
     if (r.attempts.size() >= settings_.limits.max_attempts) return false;
     for (const Attempt& a : r.attempts) {
       if (a.outcome && ProvesNotRun(*a.outcome)) continue;
@@ -470,7 +471,7 @@
   }
 
   Duration Timeout(const Request& r) const {
-    const Duration left = r.deadline - now_;
+    const Duration left = r.deadline - (r.open ? r.arrived : now_);
     // What may be repeated is given up at its aim: another upstream may have time for it, or it is worth
     // nothing. Where late answers have a worth, a second copy does that without losing the first.
     if (r.cls->late_worth > 0 && settings_.limits.second_copies) return left;
@@ -478,6 +479,7 @@
     // Under overload also what may not be repeated: kept past its aim it is worth nothing and holds up the
     // rest.
     const bool give_up = r.cls->effect != Effect::kUnsafe || (r.cls->late_worth <= 0 && limit_ < kNoLimit);
+    if (give_up && r.open) return std::min(left, r.cls->aim);
     if (give_up && now_ < aim) return std::min(left, Duration(aim - now_));
     return left;
   }
@@ -578,8 +580,6 @@
   void SendTo(Request& r, const UpstreamPtr& upstream, bool trial, double held = 0) {
     Upstream& u = *upstream;
     if (Warmth(u) < 1) u.cold_budget -= 1;
-    if (u.outstanding++ == 0) u.waiting_since = now_;
-    peak_held_ = std::max(peak_held_, ++held_);
     if (trial) u.on_trial = true;
     for (const RequestId id : asking_)  // what they were told did not count this one
       for (Asked& a : Find(id)->asked)
@@ -592,6 +592,7 @@
     const bool connects = !HasConnection(u);
     if (u.idle > 0) --u.idle;
     r.attempts.push_back({upstream, now_, trial, connects, idle_for, held});
+    if (!r.open) Hold(r.attempts.back());
     Emit(SendAttempt{r.id, u.info.id, Timeout(r), trusted_idle_});
   }
 
@@ -620,11 +621,22 @@
     r.arrived = now_;
     r.deadline = e.deadline;
     r.client_retry = e.client_retry;
+    r.passing = r.open = e.open;
     ++arrivals_;
     retry_budget_ = std::min(kRetryBurst, retry_budget_ + kRetryBudget);
-    Wake(r, r.deadline);
+    if (!r.open) Wake(r, r.deadline);
     Advance(r);
-    LookAgain(r);
+    if (!r.open) LookAgain(r);
+  }
+
+  void On(const RequestWhole& e) {
+    Request* r = Find(e.request);
+    if (r == nullptr || r->ended || !std::exchange(r->open, false)) return;
+    r->arrived = now_;
+    r->deadline = e.deadline;
+    Wake(*r, r->deadline);
+    for (Attempt& a : r->attempts)
+      if (!a.outcome) Hold(a);
   }
 
   void LookAgain(Request& r) {
@@ -643,7 +655,7 @@
   // after a proof that nothing ran. What can no longer be in time for any worth is not tried again either.
   bool WorthAnother(const Request& r) {
     if (r.attempts.empty()) return true;
-    if (r.cls->late_worth <= 0 && now_ >= r.arrived + r.cls->aim) return false;
+    if (!r.open && r.cls->late_worth <= 0 && now_ >= r.arrived + r.cls->aim) return false;
     const auto& last = r.attempts.back().outcome;
     if (last && ProvesNotRun(*last) && r.attempts.size() <= kFreeRepeats) return true;
     if (retry_budget_ < 1) return false;
@@ -687,8 +699,10 @@
 
   void On(const AnswerStarted& e) {
     Request* r = Find(e.request);
-    if (r == nullptr || r->ended || !AttemptOf(*r, e.attempt)) return;
-    r->streaming = true;
+    Attempt* attempt = r == nullptr ? nullptr : AttemptOf(*r, e.attempt);
+    if (attempt == nullptr || r->ended || r->streaming || attempt->outcome) return;
+    r->streaming = attempt->answering = true;
+    Account(*r, *attempt, Outcome::kServed, now_ - attempt->sent);
     for (std::size_t i = 0; i < r->attempts.size(); ++i) {
       if (i != static_cast<std::size_t>(e.attempt)) Cancel(*r, i);
     }
@@ -700,17 +714,15 @@
     if (attempt == nullptr || attempt->outcome) return;
     attempt->outcome = e.outcome;
     attempt->idle_for = e.idle_for.value_or(attempt->idle_for);
-    Upstream& u = *attempt->upstream;
-    --u.outstanding;
-    CountLate(*r, u, e.outcome, e.elapsed);
-    --held_;
-    LearnConnecting(u, *attempt, r->cls_index, e.outcome, e.elapsed);
-    LearnTime(u, *attempt, r->cls_index, e.outcome, e.elapsed);
-    Judge(u, *attempt, e.outcome);
-    if (e.outcome == Outcome::kServed) ++served_;
+    r->spent |= e.spent;
+    if (!attempt->answering) {
+      Account(*r, *attempt, e.outcome, e.elapsed);
+    } else if (IsFailure(e.outcome)) {
+      Judge(*attempt->upstream, *attempt, e.outcome);
+    }
     if (e.finished) {
       End(*r);
-    } else if (r->streaming) {
+    } else if (attempt->answering) {
       Finish(*r);  // a broken stream that the sidecar still wants an answer for
     } else {
       Advance(*r);
@@ -718,6 +730,17 @@
     Forget(e.request);
   }
 
+  // What an attempt tells: once, at its end or where its answer begins.
+  void Account(Request& r, Attempt& a, Outcome outcome, Duration elapsed) {
+    Upstream& u = *a.upstream;
+    CountLate(r, u, outcome, elapsed);
+    Release(a);
+    LearnConnecting(u, a, r.cls_index, outcome, elapsed);
+    LearnTime(u, a, r.cls_index, outcome, elapsed);
+    Judge(u, a, outcome);
+    if (outcome == Outcome::kServed) ++served_;
+  }
+
   void On(const RequestGone& e) {
     if (Request* r = Find(e.request)) End(*r);
     Forget(e.request);
@@ -865,7 +888,7 @@
     Request* r = Find(id);
     timers_.erase(timer);
     if (r == nullptr) return;
-    if (now_ < r->deadline) return r->asked.empty() ? SecondCopy(*r) : Decide(*r);
+    if (r->open || now_ < r->deadline) return r->asked.empty() ? SecondCopy(*r) : Decide(*r);
     if (!r->streaming) Finish(*r);
     Forget(id);
   }
@@ -883,11 +906,6 @@
     }
   }
 
-  Request* Find(RequestId id) {
-    const auto it = requests_.find(id);
-    return it == requests_.end() ? nullptr : &it->second;
-  }
-
   void Forget(RequestId id) {
     const Request* r = Find(id);
     if (r != nullptr && r->ended && !AnyOut(*r)) requests_.erase(id);
--- a/src/state.h
+++ b/src/state.h
@@ -125,6 +125,8 @@
   bool connects = false;             // it found no connection to use
   Duration idle_for{};               // how long the one it found had been idle
   double held = 0;                   // what the upstream said it held, and this one; 0 where it did not
+  bool counted = false;              // it weighs on its upstream: whole, and its answer has not begun
+  bool answering = false;            // its answer has begun
   std::optional<Outcome> outcome{};  // absent while it is out
 };
 
@@ -146,6 +148,9 @@
   std::vector<Attempt> attempts;
   std::vector<Asked> asked;   // while it waits for their reports
   bool client_retry = false;  // its client tried before
+  bool passing = false;       // its body passes through: one attempt at a time
+  bool open = false;          // and still comes
+  bool spent = false;         // and is not to be had again
   bool ended = false;         // it has its final answer: nothing more is sent for it
   bool streaming = false;     // its answer has begun: it belongs to the client
 };
@@ -167,6 +172,23 @@
 
 // What a balancer keeps beside its settings and its source of chance.
 struct Book {
+  Request* Find(RequestId id) {
+    const auto it = requests_.find(id);
+    return it == requests_.end() ? nullptr : &it->second;
+  }
+
+  // While a body still comes, or its answer is the client's already, its upstream is not what takes the time.
+  void Hold(Attempt& a) {
+    a.counted = true;
+    a.sent = now_;
+    if (a.upstream->outstanding++ == 0) a.upstream->waiting_since = now_;
+    peak_held_ = std::max(peak_held_, ++held_);
+  }
+
+  void Release(Attempt& a) {
+    if (std::exchange(a.counted, false)) --a.upstream->outstanding, --held_;
+  }
+
   TimePoint now_;
   std::vector<Action>* out_ = nullptr;
   bool running_ = false;
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -3,7 +3,10 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
+#include <future>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -17,8 +20,7 @@
 using std::chrono::milliseconds;
 
 Node::Options Operated(const json& known, const std::string& tmpdir = "") {
-  Node::Options options;
-  options.known = known;
+  Node::Options options = With(known);
   options.admin = "127.0.0.1:0";
   options.tmpdir = tmpdir;
   return options;
@@ -384,5 +386,264 @@
   EXPECT_FALSE(answer->keep_alive());
 }
 
+// ---- Bodies that pass through ----
+
+// More than all sockets' buffers hold.
+constexpr std::size_t kLarge = 32 * 1024 * 1024;
+
+std::string Text(std::size_t size) {
+  std::string text(size, 'x');
+  for (std::size_t i = 0; i < size; i += 97) text[i] = static_cast<char>('a' + i / 97 % 26);
+  return text;
+}
+
+std::string Chunks(const std::string& body, std::size_t size) {
+  std::ostringstream chunks;
+  for (std::size_t i = 0; i < body.size(); i += size) {
+    const std::string piece = body.substr(i, size);
+    chunks << std::hex << piece.size() << ";note=\"x\"\r\n" << piece << "\r\n";
+  }
+  chunks << "0\r\nX-Trailer: t\r\n\r\n";
+  return chunks.str();
+}
+
+std::string PostHead(const std::string& target, const std::string& id, const std::string& headers) {
+  return "POST " + target + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Timeout-Ms: 15000\r\n" +
+         headers + "\r\n";
+}
+
+bool FirstBytes(Client& client) {
+  return Eventually([&] { return client.wire.socket.available() > 0; });
+}
+
+// The most memory it has had, in MB.
+std::size_t Peak(const Node& node) {
+  std::ifstream status("/proc/" + std::to_string(node.pid()) + "/status");
+  std::string word;
+  while (status >> word && word != "VmHWM:") {
+  }
+  std::size_t kilobytes = 0;
+  status >> kilobytes;
+  return kilobytes / 1024;
+}
+
+#ifdef __SANITIZE_ADDRESS__
+constexpr std::size_t kMostGrowth = 1024;  // freed memory is kept there to find late uses
+#else
+constexpr std::size_t kMostGrowth = 16;
+#endif
+
+TEST(Passing, LargeAnswersReachSlowReadersWholeInBoundedMemory) {
+  const std::string body = Text(kLarge);
+  Upstream upstream([&](Wire& wire, const Request& request, int) {
+    if (request.target() == "/page/chunked") {
+      wire.Write("HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n" + Chunks(body, 100000));
+    } else if (request.target() == "/page/closed") {
+      wire.Write("HTTP/1.0 200 OK\r\n\r\n" + body);
+      wire.socket.close();
+    } else {
+      wire.Answer(200, body);
+    }
+  });
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  Client first(node.port());
+  ASSERT_TRUE(first.Get("/page/length", "m"));
+  const std::size_t before = Peak(node);
+  std::vector<std::unique_ptr<Client>> clients;
+  for (const char* form : {"length", "chunked", "closed", "length", "chunked"}) {
+    clients.push_back(std::make_unique<Client>(node.port()));
+    ASSERT_TRUE(
+        clients.back()->Send(GetText(std::string("/page/") + form, "m" + std::to_string(clients.size()))));
+    EXPECT_TRUE(FirstBytes(*clients.back()));
+  }
+  for (const auto& client : clients) {
+    const auto answer = client->Read();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->result_int(), 200U);
+    EXPECT_TRUE(answer->body() == body);
+  }
+  EXPECT_LT(Peak(node), before + kMostGrowth);
+}
+
+TEST(Passing, ALargeAnswerReachesAClientOfHttp10) {
+  const std::string body = Text(300000);
+  Upstream upstream([&](Wire& wire, const Request&, int) {
+    wire.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunks(body, 7));
+  });
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  Client client(node.port());
+  ASSERT_TRUE(client.Send("GET /page/k HTTP/1.0\r\nX-Request-ID: o\r\nX-Timeout-Ms: 5000\r\n\r\n"));
+  const auto answer = client.Read();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->count("Transfer-Encoding"), 0U);
+  EXPECT_TRUE(answer->body() == body);
+}
+
+TEST(Passing, TheFirstBytesOfALargeAnswerWaitForNothing) {
+  for (const char* framing : {"Content-Length: 1000000", "Transfer-Encoding: chunked"}) {
+    Gate go;
+    const std::string body = Text(1000000);
+    const bool chunked = framing[0] == 'T';
+    const std::string bytes = chunked ? Chunks(body, 1000) : body;
+    Upstream upstream([&](Wire& wire, const Request&, int) {
+      wire.Write(std::string("HTTP/1.1 200 OK\r\n") + framing + "\r\n\r\n" + bytes.substr(0, 3000));
+      go.Pass();
+      wire.Write(bytes.substr(3000));
+    });
+    Node node(With(List({Target("u1", upstream.address())})));
+    ASSERT_TRUE(node.Listening());
+    Client client(node.port());
+    ASSERT_TRUE(client.Send(GetText("/page/k", "f")));
+    EXPECT_TRUE(FirstBytes(client)) << framing;
+    go.Open();
+    const auto answer = client.Read();
+    ASSERT_TRUE(answer);
+    EXPECT_TRUE(answer->body() == body);
+  }
+}
+
+TEST(Passing, ABreakInALargeAnswerIsPlainToTheClientAndNotRepeated) {
+  for (const char* framing : {"Content-Length: 1000000\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    Upstream upstream([&](Wire& wire, const Request&, int) {
+      wire.Write(std::string("HTTP/1.1 200 OK\r\n") + framing + "\r\n" +
+                 (framing[0] == 'T' ? "20000\r\n" : "") + Text(0x20000));
+      wire.Reset();
+    });
+    Node node(With(List({Target("u1", upstream.address())})));
+    ASSERT_TRUE(node.Listening());
+    Client client(node.port());
+    ASSERT_TRUE(client.Send(GetText("/page/k", "b")));
+    EXPECT_FALSE(client.Read()) << framing;
+    EXPECT_EQ(upstream.requests().size(), 1U);
+  }
+}
+
+// A second copy that began to answer is the answer; the end of the first attempt is not the request's.
+TEST(Passing, TheEndOfAnotherAttemptDoesNotCutTheAnswerOff) {
+  const std::string body = Text(4000000);
+  Gate called_off;
+  std::atomic<int> asked{0};
+  const auto handler = [&](Wire& wire, const Request&, int) {
+    if (asked++ == 0) {
+      wire.ReadsEnd();
+      called_off.Open();
+    } else {
+      wire.Write("HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n" + body.substr(0, 1000));
+      called_off.Pass();
+      wire.Write(body.substr(1000));
+    }
+  };
+  Upstream u1(handler), u2(handler);
+  json settings = Settings();
+  settings["Limits"]["SecondCopies"] = true;
+  Node node(With(List({Target("u1", u1.address()), Target("u2", u2.address())}), settings));
+  ASSERT_TRUE(node.Listening());
+  Client client(node.port());
+  const auto answer = client.Get("/page/k", "c", 15000);
+  ASSERT_TRUE(answer) << node.log();
+  EXPECT_TRUE(answer->body() == body);
+}
+
+TEST(Passing, LargeRequestsReachTheUpstreamWholeInBoundedMemory) {
+  const std::string body = Text(kLarge);
+  std::atomic<int> whole{0};
+  Upstream upstream([&](Wire& wire, const Request& request, int) {
+    whole += request.body() == body;
+    wire.Answer(200, "done");
+  });
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  Client client(node.port());
+  ASSERT_TRUE(client.Post("/submit/k", "s", "x"));
+  const std::size_t before = Peak(node);
+  const std::string length = "Content-Length: " + std::to_string(kLarge) + "\r\n";
+  for (const std::string& text :
+       {PostHead("/submit/k", "a", length + "Expect: 100-continue\r\n") + body,
+        PostHead("/submit/k", "b", "Transfer-Encoding: chunked\r\n") + Chunks(body, 50000)}) {
+    ASSERT_TRUE(client.Send(text));
+    auto answer = client.Read();
+    if (answer && answer->result_int() == 100) answer = client.Read();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->result_int(), 200U);
+  }
+  EXPECT_EQ(whole, 2);
+  EXPECT_LT(Peak(node), before + kMostGrowth);
+}
+
+TEST(Passing, ALargeRequestOfWhichNothingWasWrittenGoesElsewhere) {
+  Refusing refusing;
+  Upstream good(Upstream::Echo("good"));
+  Node node(With(List({Target("u1", refusing.address()), Target("u2", good.address())})));
+  ASSERT_TRUE(node.Listening());
+  Client client(node.port());
+  for (const char* id : {"a", "b", "c"}) {
+    const auto answer = client.Post("/submit/k", id, Text(1000000));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->result_int(), 200U);
+  }
+}
+
+TEST(Passing, ALargeRequestThatBrokeInTheMiddleIsNotRepeatedAndNeverRan) {
+  std::atomic<int> begun{0};
+  const auto script = [&](Wire& wire, int) {
+    ++begun;
+    char bytes[1000];
+    boost::system::error_code error;
+    wire.socket.read_some(boost::asio::buffer(bytes), error);
+    wire.Reset();
+  };
+  Peer u1(script), u2(script);
+  Node node(With(List({Target("u1", u1.address()), Target("u2", u2.address())})));
+  ASSERT_TRUE(node.Listening());
+  Client client(node.port());
+  ASSERT_TRUE(client.Send(PostHead("/submit/k", "a", "Content-Length: 1000000\r\n") + Text(500000)));
+  const auto answer = client.Read();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->result_int(), 503U);
+  EXPECT_EQ(answer->count("Retry-After"), 1U);
+  EXPECT_EQ(begun, 1);
+}
+
+TEST(Passing, AClientThatLeavesInTheMiddleEndsItsAttempt) {
+  Gate ended;
+  Peer upstream([&](Wire& wire, int) {
+    EXPECT_FALSE(wire.ReadRequest());
+    ended.Open();
+  });
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  {
+    Client client(node.port());
+    ASSERT_TRUE(client.Send(PostHead("/submit/k", "a", "Content-Length: 1000000\r\n") + Text(500000)));
+    ASSERT_TRUE(Eventually([&] { return upstream.connections() == 1; }));
+  }
+  ended.Pass();
+}
+
+TEST(Passing, ARequestThatComesSlowlyIsServedAndOneThatStopsIsNot) {
+  Upstream upstream([](Wire& wire, const Request& request, int) {
+    wire.Answer(200, std::to_string(request.body().size()));
+  });
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  Client stops(node.port());
+  ASSERT_TRUE(stops.Send(PostHead("/submit/k", "a", "Content-Length: 1000000\r\n") + Text(500000)));
+  Client slow(node.port());
+  ASSERT_TRUE(slow.Send(PostHead("/submit/k", "b", "Content-Length: 200000\r\n")));
+  const std::string body = Text(200000);
+  for (std::size_t i = 0; i < body.size(); i += 10000) {
+    std::this_thread::sleep_for(milliseconds(150));  // 3 s in all: longer than a head may take
+    ASSERT_TRUE(slow.Send(body.substr(i, 10000)));
+  }
+  const auto answer = slow.Read();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->body(), "200000");
+  const auto refused = stops.Read();
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->result_int(), 408U);
+}
+
 }  // namespace
 }  // namespace mothrack::testing
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -43,6 +43,7 @@
 
 std::optional<Request> Wire::ReadRequest() {
   http::request_parser<http::string_body> parser;
+  parser.body_limit(64 * 1024 * 1024);
   error_code error;
   http::read(socket, buffer_, parser, error);
   if (error) return std::nullopt;
@@ -51,6 +52,7 @@
 
 std::optional<Response> Wire::ReadResponse() {
   http::response_parser<http::string_body> parser;
+  parser.body_limit(64 * 1024 * 1024);
   error_code error;
   http::read(socket, buffer_, parser, error);
   if (error) return std::nullopt;
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <condition_variable>
 #include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -28,6 +29,17 @@
 using Request = boost::beast::http::request<boost::beast::http::string_body>;
 using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
+// A door that a script waits at until the test opens it.
+class Gate {
+ public:
+  void Open() { promise_.set_value(); }
+  void Pass() const { opened_.wait(); }
+
+ private:
+  std::promise<void> promise_;
+  std::shared_future<void> opened_ = promise_.get_future().share();
+};
+
 // Waits for a condition, far longer than it should take; false where it never came.
 bool Eventually(const std::function<bool()>& condition);
 
@@ -195,6 +207,13 @@
   std::thread reading_;
 };
 
+inline Node::Options With(const json& known, json settings = Settings()) {
+  Node::Options options;
+  options.known = known;
+  options.settings = std::move(settings);
+  return options;
+}
+
 // A connection of the application.
 class Client {
  public:
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -70,6 +70,58 @@
   EXPECT_EQ(w.sent.size(), 1u);
 }
 
+TEST(NoRequestIsLost, TheEndOfAnotherAttemptLeavesAnAnswerThatHasBegunAlone) {
+  World w;
+  w.List(2);
+  const RequestId id = w.Arrive(kSafe);
+  w.Advance(700ms);  // late, and its upstream answers nothing else: a copy goes out
+  ASSERT_EQ(w.sent.size(), 2u);
+  w.Do(AnswerStarted{id, AttemptId{1}});
+  EXPECT_EQ(w.cancelled, (std::vector{std::pair{id, AttemptId{0}}}));
+  w.Finish(w.sent[0], Outcome::kCancelled);
+  w.Advance(60s);
+  EXPECT_EQ(w.cancelled.size(), 1u);
+  EXPECT_TRUE(w.refused.empty() && w.failed.empty());
+}
+
+TEST(NoRequestIsLost, AnOpenRequestHasItsTimeFromItsLastByteOn) {
+  World w;
+  w.List(2);
+  RequestArrived e;
+  e.request = RequestId{77};
+  e.request_class = kUnsafe;
+  e.deadline = w.now + 2s;
+  e.open = true;
+  w.Do(e);
+  ASSERT_EQ(w.sent.size(), 1u);
+  EXPECT_EQ(w.sent[0].timeout, Duration(2s));
+  w.Advance(30s);
+  EXPECT_TRUE(w.refused.empty() && w.failed.empty());
+  w.Do(RequestWhole{RequestId{77}, w.now + 2s});
+  w.Advance(1900ms);
+  EXPECT_TRUE(w.failed.empty());
+  w.Advance(200ms);
+  EXPECT_EQ(w.failed.size(), 1u);
+}
+
+TEST(NoEffectTwice, WhatIsSpentIsNotSentAgain) {
+  World w;
+  w.List(3);
+  for (const bool spent : {false, true}) {
+    const std::size_t before = w.sent.size();
+    RequestArrived e;
+    e.request = RequestId{spent ? 88u : 77u};
+    e.request_class = kSafe;
+    e.deadline = w.now + 2s;
+    e.open = true;
+    w.Do(e);
+    AttemptEnded end{e.request, AttemptId{0}, Outcome::kConnectFailed, 1ms, false, {}, {}, spent};
+    w.Do(end);
+    EXPECT_EQ(w.sent.size() - before, spent ? 1u : 2u);
+  }
+  EXPECT_EQ(w.refused.size(), 1u);
+}
+
 TEST(NoRequestIsLost, AnAttemptCutOffByTheSidecarIsAnsweredAsFailed) {
   World w;
   w.List(3);
