--- a/node/upstreams.cpp
+++ b/node/upstreams.cpp
@@ -32,9 +32,9 @@
 constexpr Duration kIdleMargin = milliseconds(500);
 constexpr auto kSweep = milliseconds(250);
 
-// An answer of unknown length is held back for so long, in case it is a short one, that another upstream
-// could still give where this one breaks.
-constexpr Duration kHoldBack = milliseconds(100);
+// An answer of unknown length is held back for this part of the time it has left, in case it is a short one,
+// that another upstream could still give where this one breaks.
+constexpr int kHoldBackPart = 10;
 // What passes through may come and go slowly; a peer that does nothing for so long is gone.
 constexpr Duration kSilentPeer = std::chrono::seconds(10);
 // The system must not take megabytes for a client that reads slowly.
@@ -327,7 +327,7 @@
       Begin();
     } else if (status == 200 && !parser_->content_length()) {
       holds_back_ = true;
-      ArmTimer(std::min(gives_up_, Now() + kHoldBack));
+      ArmTimer(EndOfHoldBack());
     }
     if (!closed_) ReadBody();
   }
@@ -353,12 +353,17 @@
     call_.on_start(std::move(head), passing_);
   }
 
+  TimePoint EndOfHoldBack() const {
+    const TimePoint now = Now();
+    return std::min(gives_up_, now + std::max<Duration>((gives_up_ - now) / kHoldBackPart, milliseconds(1)));
+  }
+
   // The rest may take its time. A read is under way.
   void StopHoldingBack() {
     if (!held_.empty()) return Begin();
     holds_back_ = Now() < gives_up_;
     if (!holds_back_) return End(Cause::kTimeout);
-    ArmTimer(std::min(gives_up_, Now() + kHoldBack));
+    ArmTimer(EndOfHoldBack());
   }
 
   void ReadBody() {
