Use an upstream that was put back soon, though a near one would cost less

Cause: Balancer::Decide weighs a crossing's price, so a far one never wins against near ones that hold little. Ruled out: the budget of cold ones (refilled within a second), the list (told before the call back). CrossingZones.AFarOnePutBack... fails without the line.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -542,9 +542,10 @@
       const double late = Expected(u, *a.held, r.cls_index) / Seconds(r.cls->aim);
       const bool jam = a.served > 0 ? *a.held > a.served * kHoldFor * Seconds(r.cls->aim)
                                     : late > kHoldFor && usual_load_.samples >= kKindPrior;
-      // Squared like the weight: about how likely it is late, against which a crossing's price is weighed.
-      const double load =
-          std::pow(late * mean / u.info.weight, 2) + (Near(u) ? 0 : settings_.prices.cross_zone);
+      // About how likely it is late, against a crossing's price. One put back is to be seen in use again.
+      const double far = Near(u) ? 0 : settings_.prices.cross_zone;
+      const bool unmet = u.put_back && u.calls + u.outstanding < 1;
+      const double load = unmet ? 0 : std::pow(late * mean / u.info.weight, 2) + far;
       jammed |= jam;
       if (!jam && (!best || load < least)) best = a.upstream, least = load, held = *a.held + 1;
     }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -198,6 +198,38 @@
   EXPECT_TRUE(w.probed.empty());
 }
 
+// The operators look for it, though near ones that hold nothing would always be the better choice.
+TEST(CrossingZones, AFarOnePutBackByTheOperatorsIsInUseAgainSoon) {
+  Settings settings = Reporting();
+  settings.prices.cross_zone = 0.1;
+  settings.rules.cold_from = 0.5;
+  World w(settings);
+  UpstreamInfo far = Up("far");
+  far.zone = "there";
+  w.Full({Up("a"), Up("b"), Up("c"), far});
+  const auto calls = [&w](int count) {
+    int taken = 0;
+    for (int i = 0; i < count; ++i) {
+      w.probed.clear();
+      const std::size_t before = w.sent.size();
+      w.Arrive(kUnsafe);
+      for (const std::string& id : std::vector<std::string>(w.probed)) Report(w, id, 0);
+      w.Advance(20ms);
+      for (std::size_t k = before; k < w.sent.size(); ++k) {
+        taken += w.sent[k].upstream == "far";
+        w.Finish(w.sent[k], Outcome::kServed);
+      }
+    }
+    return taken;
+  };
+  ASSERT_EQ(calls(100), 0) << "it is never the better choice";
+  w.Do(OperatorsWord{{"far"}, true});
+  w.Do(OperatorsWord{{"far"}, false});
+  const int taken = calls(250);  // 5 s
+  EXPECT_GE(taken, 1);
+  EXPECT_LE(taken, 2) << "and then as before";
+}
+
 // Each client's repeat is harmless; all clients' repeats of what can no longer be in time are the overload.
 TEST(RefusedCalls, ComeBackAfterTheLongestWaitAndNotInStep) {
   std::set<Duration> waits;
