--- a/node/http.cpp
+++ b/node/http.cpp
@@ -32,6 +32,18 @@
   return bytes.size() < kMostHeader ? Head::kPartial : Head::kBad;
 }
 
+std::size_t EmptyLine(boost::beast::string_view bytes) {
+  if (bytes.empty() || bytes[0] != '\r') return 0;
+  return bytes.size() > 1 && bytes[1] == '\n' ? 2 : 1;
+}
+
+boost::beast::string_view OriginForm(boost::beast::string_view target) {
+  static constexpr boost::beast::string_view kScheme = "http://";
+  if (!boost::beast::iequals(target.substr(0, kScheme.size()), kScheme)) return target;
+  const auto path = target.find('/', kScheme.size());
+  return path == boost::beast::string_view::npos ? "/" : target.substr(path);
+}
+
 const char* FramingFault(const http::request_header<>& header) {
   if (header.version() != 10 && header.version() != 11) return "unknown version";
   const auto codings = header.count(http::field::transfer_encoding);
--- a/node/http.h
+++ b/node/http.h
@@ -31,6 +31,12 @@
 // and all that begins with no method that is served here.
 Head LookAtHead(boost::beast::string_view bytes, std::size_t& scanned);
 
+// An empty line ahead of a request is passed over (RFC 9112, 2.2). So many bytes of one are there.
+std::size_t EmptyLine(boost::beast::string_view bytes);
+
+// The path and query of a target that names the server, too.
+boost::beast::string_view OriginForm(boost::beast::string_view target);
+
 // Where a request's body ends must be beyond doubt: what one reader takes for a body may hold a request for
 // the next. Names what is wrong with it; null where nothing is.
 const char* FramingFault(const http::request_header<>& header);
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -161,6 +161,7 @@
     started_ = false;
     head_checked_ = false;
     scanned_ = 0;
+    skipped_ = false;
     since_ = Now();
     if (buffer_.size() == 0) buffer_.shrink_to_fit();  // most connections are idle most of the time
   }
@@ -202,6 +203,15 @@
       if (!std::exchange(started_, true) && !std::exchange(unused_, false)) since_ = Now();
       if (upload_ && !upload_->HasRoom()) return;
       if (!parser_->is_header_done()) {
+        if (const auto empty = scanned_ == 0 && !skipped_ ? EmptyLine(Unparsed()) : 0; empty > 0) {
+          if (empty == 1 && buffer_.size() == 1) return;  // the rest of it is still to come
+          skipped_ = empty == 2;
+          if (skipped_) {
+            buffer_.consume(empty);
+            started_ = buffer_.size() > 0;  // on its own it is no request: the connection is still idle
+            continue;
+          }
+        }
         const Head head = LookAtHead(Unparsed(), scanned_);
         if (head == Head::kPartial) return;
         if (head == Head::kBad) return Reject(http::status::bad_request, "bad request head");
@@ -268,7 +278,8 @@
   void Whole() {
     std::size_t scanned = 0;
     const char* fault = FramingFault(parser_->get());
-    if (!fault && buffer_.size() > 0 && LookAtHead(Unparsed(), scanned) == Head::kBad) {
+    const auto next = Unparsed().substr(EmptyLine(Unparsed()));
+    if (!fault && !next.empty() && LookAtHead(next, scanned) == Head::kBad) {
       fault = "no request behind the body";
     }
     if (fault) return Reject(http::status::bad_request, fault);
@@ -303,6 +314,9 @@
   }
 
   void Hand(HttpRequest request, Body body) {
+    if (const auto path = OriginForm(request.target()); path.size() != request.target().size()) {
+      request.target(std::string(path));
+    }
     if (!request.keep_alive()) close_after_ = true;
     version_ = request.version();
     const auto target = request.target();
@@ -442,6 +456,7 @@
   bool started_ = false;  // some of a request has come
   bool unused_ = true;    // nothing has ever come
   bool head_checked_ = false;
+  bool skipped_ = false;      // an empty line ahead of it
   std::size_t scanned_ = 0;   // of a head that is still to come whole
   std::size_t lingered_ = 0;  // bytes read since the last answer
   bool close_after_ = false;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -644,6 +644,27 @@
   }
 }
 
+TEST(Application, MayNameTheServerInTheTargetAndSendAnEmptyLineAhead) {
+  Upstream upstream(Upstream::Echo("u"));
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  Client client(node.port());
+  ASSERT_TRUE(client.Send(PostText("HTTP://api.internal/submit/k?a=http://b/", "a1", "x") + "\r\n"));
+  const auto first = client.Read();
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->body(), "u /submit/k?a=http://b/");
+  for (const char c : "\r\n" + GetText("/page/k", "a2")) ASSERT_TRUE(client.Send(std::string(1, c)));
+  // The empty line behind the first request and the one ahead of this one are two: that is no request.
+  const auto second = client.Read();
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->result_int(), 400U);
+  Client other(node.port());
+  for (const char c : "\r\n" + GetText("/page/k", "a3")) ASSERT_TRUE(other.Send(std::string(1, c)));
+  const auto third = other.Read();
+  ASSERT_TRUE(third);
+  EXPECT_EQ(third->body(), "u /page/k");
+}
+
 TEST(Application, ThatAsksWhetherToGoOnIsTold) {
   Upstream upstream(Upstream::Echo("u"));
   Node node(With(List({Target("u1", upstream.address())})));
