--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -247,7 +247,8 @@
 }
 
 HttpResponse Sidecar::Ready() const {
-  const char* why = serving_ ? NotServing() : "starting";
+  const char* why = NotServing();
+  if (!why && !serving_) why = "starting";
   if (kept_->words().drained) why = "drained";
   if (stopping_) why = "stopping";
   return why ? PlainResponse(http::status::service_unavailable, std::string("not ready: ") + why)
