--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -81,6 +81,11 @@
   return list;
 }
 
+Duration PauseAfter(int failures, double chance) {
+  const Duration most = std::min<Duration>(kFirstPause * (1 << std::clamp(failures - 1, 0, 5)), kMostPause);
+  return most / 2 + std::chrono::duration_cast<Duration>(most / 2 * chance);
+}
+
 // One connection to discovery and the call on it. A new one is made after any failure.
 class Discovery::Call : public std::enable_shared_from_this<Call> {
  public:
@@ -151,7 +156,7 @@
 };
 
 Discovery::Discovery(boost::asio::io_context& io, Endpoint endpoint, bool on_request, const UnixClock& clock,
-                     Logger& log, OnList on_list, OnFailed on_failed)
+                     Logger& log, std::uint64_t seed, OnList on_list, OnFailed on_failed)
     : io_(io),
       endpoint_(std::move(endpoint)),
       on_request_(on_request),
@@ -159,7 +164,8 @@
       log_(log),
       on_list_(std::move(on_list)),
       on_failed_(std::move(on_failed)),
-      pause_(io) {}
+      pause_(io),
+      random_(static_cast<std::minstd_rand::result_type>(seed)) {}
 
 Discovery::~Discovery() {
   if (call_) call_->Drop();
@@ -232,8 +238,7 @@
     running_ = false;
     return on_failed_();
   }
-  const auto pause = kFirstPause * (1 << std::min(failures_ - 1, 5));
-  StartIn(std::min<Duration>(pause, kMostPause));
+  StartIn(PauseAfter(failures_, std::generate_canonical<double, 32>(random_)));
 }
 
 }  // namespace mothrack
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "clock.h"
@@ -29,6 +30,10 @@
 // Throws std::exception, naming what is wrong with the list.
 MembershipList ParseList(const nlohmann::json& body, const UnixClock& clock);
 
+// The wait after so many failures in a row: it grows up to a bound, and is not in step with what other
+// sidecars wait that lost discovery at the same time. `chance`: from 0 to 1.
+Duration PauseAfter(int failures, double chance);
+
 class Discovery {
  public:
   using OnList = std::function<void(MembershipList)>;
@@ -37,7 +42,7 @@
   // Where membership is told on request, each failure is reported and the next Ask() waited for; else it asks
   // again by itself.
   Discovery(boost::asio::io_context& io, Endpoint endpoint, bool on_request, const UnixClock& clock,
-            Logger& log, OnList on_list, OnFailed on_failed);
+            Logger& log, std::uint64_t seed, OnList on_list, OnFailed on_failed);
   ~Discovery();
 
   // Asks for the list now and watches it from then on. Nothing to do where that is under way. `known` is the
@@ -68,6 +73,7 @@
   std::optional<std::uint64_t> revision_;  // absent: the whole list is needed
   TimePoint asked_;
   int failures_ = 0;
+  std::minstd_rand random_;
 };
 
 }  // namespace mothrack
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 #include <vector>
 
+#include "discovery.h"
 #include "gtest/gtest.h"
 #include "peers.h"
 
@@ -794,6 +795,16 @@
   }
 }
 
+TEST(Membership, PausesGrowToABoundAndAreNotInStep) {
+  EXPECT_LT(PauseAfter(1, 1), PauseAfter(4, 0));
+  for (const int failures : {1, 3, 6, 1000}) {
+    EXPECT_GE(PauseAfter(failures, 0), milliseconds(25));
+    EXPECT_LT(PauseAfter(failures, 0), PauseAfter(failures, 0.5));
+    EXPECT_LT(PauseAfter(failures, 0.5), PauseAfter(failures, 1));
+    EXPECT_LE(PauseAfter(failures, 1), milliseconds(1000));
+  }
+}
+
 TEST(Membership, AgentThatAnswersAtOnceIsNotAskedInASpin) {
   Upstream a(Upstream::Echo("a"));
   std::atomic<int> calls{0};
