--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -38,6 +38,11 @@
   return shares;
 }
 
+bool FirstIsInUseAgain(Node& node) {
+  int round = 0;
+  return Eventually([&] { return Shares(node, "again" + std::to_string(round++) + "-", 10).first > 0; });
+}
+
 bool UpSays(Node& node, unsigned status) {
   return Eventually([&] {
     Client front(node.port());
@@ -148,10 +153,7 @@
   ASSERT_TRUE(Eventually([&] { return discovery.calls() > told + 1; }));
   EXPECT_EQ(Shares(node, "c", 20), std::pair(0, 20));
   EXPECT_EQ(node.Status("POST", "/upstreams/enable/u1"), 200U);
-  EXPECT_TRUE(Eventually([&] {
-    static int round = 0;
-    return Shares(node, "d" + std::to_string(round++) + "-", 10).first > 0;
-  }));
+  EXPECT_TRUE(FirstIsInUseAgain(node));
 }
 
 TEST(TakenOut, OutlivesTheProcess) {
@@ -171,10 +173,7 @@
   Node other(Operated(known, folder.path()));
   ASSERT_TRUE(other.Listening());
   EXPECT_EQ(other.Status("POST", "/upstreams/enable/u1"), 200U);
-  EXPECT_TRUE(Eventually([&] {
-    static int round = 0;
-    return Shares(next, "b" + std::to_string(round++) + "-", 10).first > 0;
-  }));
+  EXPECT_TRUE(FirstIsInUseAgain(next));
 }
 
 TEST(TakenOut, WhatIsForeignInTheFolderIsLoggedAndPassedOver) {
