Send nothing on a connection that comes up after its request has had its answer

Ruled out: retries and second copies, which the module calls off (Balancer::End). It spares trials, whose outcome is what they are for (Balancer::Cancel); the node wrote them whenever their connection came up (Upstreams::Connection::Start). Now the sockets hear that a request has its answer, or its client left: a connection that comes up later is kept for the next call, a write still under way is called off, and a trial whose connection never comes up counts as before.

--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -382,6 +382,7 @@
   const auto it = requests_.find(id);
   if (it == requests_.end() || !it->second.reply) return;
   it->second.reply = nullptr;
+  SendNoMore(it->second);
   Deliver(kestrellb::RequestGone{id});
   ForgetIfDone(id);
 }
@@ -426,6 +427,13 @@
 void Sidecar::Answer(Pending& pending, HttpResponse response, Body body) {
   const auto reply = std::exchange(pending.reply, nullptr);
   if (reply) reply(std::move(response), std::move(body));
+  SendNoMore(pending);
+}
+
+// The module lets a trial go on behind the answer, to learn of its upstream. But where its connection has not
+// come up by now the request must not be sent on any more.
+void Sidecar::SendNoMore(const Pending& pending) {
+  for (const auto exchange : pending.attempts) upstreams_.NoLongerWanted(exchange);
 }
 
 // While events wait their attempts are still needed: their turn comes with the last of them.
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -69,6 +69,7 @@
   void LogBad(const Pending& pending, const std::string& upstream, std::size_t attempt,
               const ExchangeResult& result);
   void Answer(Pending& pending, HttpResponse response, Body body = nullptr);
+  void SendNoMore(const Pending& pending);
   void ForgetOldIds(TimePoint now);
   void ForgetIfDone(kestrellb::RequestId id);
   void ArmTimer();
--- a/node/upstreams.cpp
+++ b/node/upstreams.cpp
@@ -127,6 +127,7 @@
     id_ = id;
     call_ = std::move(call);
     whole_ = false;
+    wanted_ = true;
     sent_ = Now();
     if (connected_) {
       idle_ = sent_ - idle_since_;
@@ -148,6 +149,7 @@
       if (self->closed_) return;
       if (error) return self->End(Cause::kBroken, error);
       self->connected_ = true;
+      if (!self->wanted_) return self->Spare();
       self->phase_ = Phase::kWriting;
       self->ArmTimer(self->gives_up_);
       self->Read();
@@ -171,6 +173,12 @@
     Finish(cause);
   }
 
+  // An attempt that was to tell something of the upstream goes on behind the answer, but nothing is sent.
+  void NoLongerWanted() {
+    wanted_ = false;
+    if (write_pending_) End(Cause::kCancelled);
+  }
+
   void Close() {
     if (closed_) return;
     closed_ = true;
@@ -417,16 +425,32 @@
     const auto self = shared_from_this();
     owner_.exchanges_.erase(id_);
     if (keep) {
-      idle_since_ = Now();
-      Clear();
-      Watch();
-      owner_.Release(self);
+      Rest();
     } else {
       Close();
     }
     on_end(std::move(result));
   }
 
+  // It is up, and there is nothing to send on it.
+  void Spare() {
+    timer_.cancel();
+    LeaveBody();
+    phase_ = Phase::kIdle;
+    const auto on_end = std::exchange(call_.on_end, nullptr);
+    owner_.exchanges_.erase(id_);
+    const ExchangeResult result = Result(Outcome::kNotSent);
+    Rest();
+    on_end(result);
+  }
+
+  void Rest() {
+    idle_since_ = Now();
+    Clear();
+    Watch();
+    owner_.Release(shared_from_this());
+  }
+
   // An idle connection keeps nothing of its last exchange.
   void Clear() {
     call_ = {};
@@ -483,6 +507,7 @@
   int interim_ = 0;
   ExchangeId id_{};
   Call call_;
+  bool wanted_ = true;    // by the request
   bool whole_ = false;    // the last byte of a request that passes through is written
   std::string outgoing_;  // a piece of it
   std::string piece_;     // of the answer
@@ -592,6 +617,13 @@
   connection->End(Connection::Cause::kCancelled);
 }
 
+void Upstreams::NoLongerWanted(ExchangeId id) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end()) return;
+  const auto connection = it->second;
+  connection->NoLongerWanted();
+}
+
 void Upstreams::CloseIdle(const std::string& uid) {
   const auto it = pools_.find(uid);
   if (it == pools_.end()) return;
--- a/node/upstreams.h
+++ b/node/upstreams.h
@@ -76,6 +76,9 @@
   void Probe(ExchangeId id, const std::string& uid, Duration max_idle, OnEnd on_end);
   // Stops waiting: the connection is closed.
   void Cancel(ExchangeId id);
+  // Its request has had its answer: what is not written by now is not written any more. A connection that
+  // still comes up is kept for the next one.
+  void NoLongerWanted(ExchangeId id);
   void CloseIdle(const std::string& uid);
   // Closes idle connections for which there is no room any more.
   void MakeRoom();
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -682,6 +682,52 @@
   EXPECT_EQ(response->result_int(), 200U);
 }
 
+// A trial goes on behind its request's answer, to learn of the upstream, but nothing may be sent for it then.
+TEST(Outcome, AConnectionThatComesUpAfterTheAnswerCarriesTheNextRequest) {
+  BlackHole late(false);
+  Upstream good(Upstream::Echo("good"));
+  json settings = Settings();
+  settings["Limits"]["SecondCopies"] = true;
+  settings["Limits"]["ConnectTimeout"] = 15000000;
+  settings["Classes"][0]["Aim"] = 15000000;
+  Node node(With(List({Target("u1", late.address()), Target("u2", good.address())}), settings));
+  ASSERT_TRUE(node.Listening());
+  Client client(node.port());
+  int number = 0;
+  const auto served = [&] {
+    const auto response = client.Get("/page/k", "r" + std::to_string(number++), 15000);
+    return response && response->result_int() == 200;
+  };
+  // Two failures in a row make it a suspect, which copies of calls try out.
+  auto failing = std::async(std::launch::async, [&] {
+    for (int i = 0; i < 2; ++i) {
+      const auto wire = late.Accept();
+      wire->ReadRequest();
+      wire->Answer(500, "x", "Connection: close\r\n");
+    }
+  });
+  while (failing.wait_for(milliseconds(0)) != std::future_status::ready) ASSERT_TRUE(served());
+  late.Fill();
+  const int before = number;
+  ASSERT_TRUE(served());  // and its copy waits for a connection
+  std::atomic<bool> come{false};
+  auto first = std::async(std::launch::async, [&] {
+    const auto wire = late.Accept();
+    const auto request = wire->ReadRequest();
+    come = true;
+    wire->Answer(200, "late");
+    return request;
+  });
+  EXPECT_TRUE(Eventually([&] {
+    EXPECT_TRUE(served());
+    return come.load();
+  }));
+  const auto request = first.get();
+  ASSERT_TRUE(request);
+  const int carried = std::stoi(std::string((*request)["X-Request-ID"]).substr(1));
+  EXPECT_GT(carried, before);
+}
+
 // ---- Discovery ----
 
 TEST(Membership, StartsFromKnownWhileDiscoveryIsDown) {
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -152,11 +153,15 @@
   return requests_;
 }
 
-BlackHole::BlackHole() : acceptor_(io_) {
+BlackHole::BlackHole(bool full) : acceptor_(io_) {
   acceptor_.open(tcp::v4());
   acceptor_.bind(Loopback(0));
   acceptor_.listen(0);
-  // Fill the backlog until a connection hangs.
+  if (full) Fill();
+}
+
+// Until a connection hangs.
+void BlackHole::Fill() {
   for (int i = 0; i < 16; ++i) {
     auto& socket = waiting_.emplace_back(io_, tcp::v4());
     socket.native_non_blocking(true);
@@ -169,6 +174,17 @@
   throw std::runtime_error("the backlog never fills");
 }
 
+std::unique_ptr<Wire> BlackHole::Accept() {
+  while (true) {
+    auto wire = std::make_unique<Wire>(io_);
+    acceptor_.accept(wire->socket);
+    const auto from = wire->socket.remote_endpoint();
+    if (std::ranges::none_of(waiting_, [&](const auto& own) { return own.local_endpoint() == from; })) {
+      return wire;
+    }
+  }
+}
+
 std::string BlackHole::address() const {
   return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
 }
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -104,11 +104,14 @@
   Peer peer_;
 };
 
-// An address where connections never come up: its backlog is full.
+// An address where connections do not come up while its backlog is full: from the start, or once filled.
 class BlackHole {
  public:
-  BlackHole();
+  explicit BlackHole(bool full = true);
   std::string address() const;
+  void Fill();
+  // The next connection of somebody else. It lets those come up that were held up by the backlog.
+  std::unique_ptr<Wire> Accept();
 
  private:
   boost::asio::io_context io_;
