--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
+#include <cmath>
 #include <stdexcept>
 #include <utility>
 
@@ -48,6 +49,13 @@
 // Beyond these (the year 2286; a million times the usual machine) a list is damaged.
 constexpr std::int64_t kMostBootMs = 9'999'999'999'999;
 constexpr double kMostWeight = 1e6;
+constexpr double kMostWhole = 9.2e18;
+
+// What no honest number comes near would be cut to another one.
+std::int64_t Whole(const json& number, const char* name) {
+  if (!(std::abs(number.get<double>()) < kMostWhole)) throw std::runtime_error(std::string("bad ") + name);
+  return number.get<std::int64_t>();
+}
 
 UpstreamState ParseState(const std::string& word) {
   if (word == "active") return UpstreamState::kServing;
@@ -60,7 +68,9 @@
 
 MembershipList ParseList(const json& body, const UnixClock& clock) {
   MembershipList list;
-  list.revision = body.at("rev").get<std::uint64_t>();
+  const std::int64_t revision = Whole(body.at("rev"), "rev");
+  if (revision < 0) throw std::runtime_error("bad rev");
+  list.revision = static_cast<std::uint64_t>(revision);
   list.update.kind =
       body.at("all").get<bool>() ? MembershipUpdate::Kind::kFull : MembershipUpdate::Kind::kChanges;
   const json& targets = body.at("targets");
@@ -68,14 +78,15 @@
   for (const json& target : targets) {
     UpstreamInfo info;
     info.id.value = target.at("uid").get<std::string>();
+    if (info.id.value.empty()) throw std::runtime_error("empty uid");
     info.state = ParseState(target.at("state").get<std::string>());
     info.zone = target.value("az", "");
     info.kind = target.value("model", "");
-    info.cell = target.value("pod_group", std::int64_t{0});
+    info.cell = Whole(target.value("pod_group", json(0)), "pod_group");
     info.weight = target.value("capacity_hint", 1.0);
     Location location;
     location.state = info.state;
-    location.boot_ms = target.value("boot_ms", std::int64_t{0});
+    location.boot_ms = Whole(target.value("boot_ms", json(0)), "boot_ms");
     if (location.boot_ms < 0 || location.boot_ms > kMostBootMs) throw std::runtime_error("bad boot_ms");
     if (!(info.weight >= 0 && info.weight <= kMostWeight)) throw std::runtime_error("bad capacity_hint");
     if (location.boot_ms > 0) info.started = clock.FromMilliseconds(location.boot_ms);
@@ -85,7 +96,9 @@
     } else if (info.state != UpstreamState::kGone) {
       throw std::runtime_error("bad endpoint '" + text + "' of " + info.id.value);
     }
-    list.locations[info.id.value] = location;
+    if (!list.locations.emplace(info.id.value, location).second) {
+      throw std::runtime_error("two lines for " + info.id.value);
+    }
     list.update.upstreams.push_back(std::move(info));
   }
   return list;
@@ -269,8 +282,8 @@
   } catch (const std::exception& e) {
     return Failed(call, std::string("malformed list: ") + e.what());
   }
-  // Another service than the one that counted so far: what it holds may differ in more than the changes.
-  if (revision_ && list.revision < *revision_ && list.update.kind == MembershipUpdate::Kind::kChanges) {
+  // Another service than the one that counted so far, or an answer gone astray: the whole list will tell.
+  if (revision_ && list.revision < *revision_) {
     return Failed(call, "an older version than the one held");
   }
   if (&call == late_.get()) std::swap(call_, late_);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <functional>
 #include <future>
 #include <memory>
 #include <mutex>
@@ -841,6 +842,37 @@
   }
 }
 
+// Of a damaged list nothing is taken, not even what can be read.
+TEST(Membership, DamagedListsAreNamedAndLeaveTheLastGoodOne) {
+  const UnixClock clock;
+  const json good{{"rev", 3}, {"all", true}, {"targets", List({Target("u1", "127.0.0.1:1", "active", 5)})}};
+  EXPECT_EQ(ParseList(good, clock).locations.size(), 1u);
+  const auto named = [&](const std::string& name, const std::function<void(json&)>& damage) {
+    json body = good;
+    damage(body);
+    try {
+      ParseList(body, clock);
+    } catch (const std::exception& e) {
+      return std::string(e.what()).find(name) != std::string::npos;
+    }
+    return false;
+  };
+  EXPECT_TRUE(named("two lines for u1", [](json& b) { b["targets"].push_back(b["targets"][0]); }));
+  EXPECT_TRUE(named("empty uid", [](json& b) { b["targets"][0]["uid"] = ""; }));
+  EXPECT_TRUE(named("unknown state", [](json& b) { b["targets"][0]["state"] = "asleep"; }));
+  EXPECT_TRUE(named("bad endpoint", [](json& b) { b["targets"][0]["endpoint"] = "nowhere"; }));
+  EXPECT_TRUE(named("bad capacity_hint", [](json& b) { b["targets"][0]["capacity_hint"] = -1; }));
+  EXPECT_TRUE(named("bad boot_ms", [](json& b) { b["targets"][0]["boot_ms"] = -5; }));
+  EXPECT_TRUE(named("bad boot_ms", [](json& b) { b["targets"][0]["boot_ms"] = 1e300; }));
+  EXPECT_TRUE(named("bad pod_group", [](json& b) { b["targets"][0]["pod_group"] = -1e300; }));
+  EXPECT_TRUE(named("bad rev", [](json& b) { b["rev"] = -1; }));
+  EXPECT_TRUE(named("bad rev", [](json& b) { b["rev"] = 1e300; }));
+  EXPECT_TRUE(named("type", [](json& b) { b["all"] = 1; }));
+  EXPECT_TRUE(named("type", [](json& b) { b["rev"] = "3"; }));
+  EXPECT_TRUE(named("rev", [](json& b) { b.erase("rev"); }));
+  EXPECT_TRUE(named("no array", [](json& b) { b["targets"] = 7; }));
+}
+
 TEST(Membership, PausesGrowToABoundAndAreNotInStep) {
   const Duration most = milliseconds(75);
   EXPECT_LT(PauseAfter(1, most, 1), PauseAfter(4, most, 0));
@@ -969,6 +1001,62 @@
   EXPECT_EQ(std::string(requests[3].target()).find("/discovery/hosts?index=7&"), 0u);
 }
 
+// A watch there that falls silent is given up soon after its wait, and what it missed is asked for at once:
+// the module's pauses are for a service that has no time.
+TEST(Membership, AWatchOfOneServiceForAllThatFellSilentIsOpenedAnewAtOnce) {
+  Upstream hung([](Wire& wire, const Request&, int) { wire.ReadsEnd(); });
+  std::atomic<int> watches{0}, lists{0};
+  const std::string list =
+      json{{"rev", 7}, {"all", true}, {"targets", List({Target("u1", hung.address())})}}.dump();
+  Upstream service([&](Wire& wire, const Request& request, int) {
+    if (std::string(request.target()).find("index=") == std::string::npos) {
+      ++lists;
+      wire.Answer(200, list);
+    } else {
+      ++watches;
+      wire.ReadsEnd();
+    }
+  });
+  json settings = Settings();
+  settings["MembershipMode"] = "on_request";
+  Node::Options options = With(nullptr, settings);
+  options.discovery = service.address();
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  ASSERT_TRUE(Eventually([&] { return watches == 1; }));
+  // The request's time-out is the clock: with a module's pause behind it the second list comes later.
+  Client client(node.port());
+  ASSERT_TRUE(client.Post("/submit/k", "a1", "x", 8000));
+  EXPECT_EQ(lists, 2);
+}
+
+// 350 processes and some hundreds of upstreams are usual; more than a thousand have to work.
+TEST(Membership, AThousandUpstreamsAreFollowedAndServe) {
+  Upstream old(Upstream::Echo("old"));
+  Upstream fresh(Upstream::Echo("new"));
+  const int count = 1024;
+  json whole = json::array(), drains = json::array();
+  for (int i = 0; i < count; ++i) {
+    const std::string uid = "s-" + std::to_string(i);
+    whole.push_back(Target(uid, old.address()));
+    drains.push_back(
+        Target(uid, i < count - 1 ? old.address() : fresh.address(), i < count - 1 ? "leaving" : "active"));
+  }
+  Discovery discovery(whole);
+  Node::Options options = With(whole);
+  options.discovery = discovery.address();
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  ASSERT_TRUE(BecomesServedBy(node, "old /page/k"));
+  discovery.Tell(drains, false);
+  ASSERT_TRUE(BecomesServedBy(node, "new /page/k"));
+  const std::size_t before = old.requests().size();
+  for (int i = 0; i < 20; ++i) EXPECT_TRUE(BecomesServedBy(node, "new /page/k"));
+  EXPECT_EQ(old.requests().size(), before);
+  discovery.Tell(whole, true);
+  EXPECT_TRUE(BecomesServedBy(node, "old /page/k"));
+}
+
 TEST(Membership, OneServiceForAllIsAskedForTheWholeListWhereNothingIsKnown) {
   Upstream a(Upstream::Echo("a"));
   Discovery discovery(List({Target("u1", a.address())}));
