--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -146,7 +146,8 @@
     Order();
     // With the whole list known: a turn drawn from the sum so far would put the first ones of the list first
     // at every sidecar, and a fleet of them would send their first calls to the same few.
-    for (const UpstreamPtr& u : entering) Enter(*u);
+    const double turn = Turn();
+    for (const UpstreamPtr& u : entering) u->credit = -Uniform() * turn;
   }
 
   // The order in which upstreams are taken into the subset: rendezvous hashing, so that the sidecars' subsets
@@ -211,7 +212,7 @@
     std::vector<UpstreamPtr> entering;
     Adopt(info, entering);
     Order();
-    for (const UpstreamPtr& u : entering) Enter(*u);
+    for (const UpstreamPtr& u : entering) u->credit = -Uniform() * Turn();
   }
 
   // ---- Ejection ----
@@ -289,14 +290,13 @@
   }
 
   void ReturnIfServed(Upstream& u) {
-    if (!u.ejected || now_ < u.ejected_until) return;
-    Return(u, "after its ejection");
+    if (u.ejected && now_ >= u.ejected_until) Return(u, "after its ejection");
   }
 
   void Return(Upstream& u, const char* why) {
     u.ejected = false;
     u.ejected_until = now_;
-    Enter(u);
+    u.credit = -Uniform() * Turn();
     Say("returned " + u.info.id.value + " " + why);
   }
 
@@ -304,7 +304,7 @@
 
   // An upstream that enters or returns starts somewhere in its turn: no hoard of credit, and sidecars that
   // hear of it together do not all pick it next.
-  void Enter(Upstream& u) { u.credit = -Uniform() * ListedWeight() * SubsetShare(); }
+  double Turn() const { return ListedWeight() * SubsetShare(); }
 
   double ListedWeight() const {
     double sum = 0;
