Spare a connection of whose request the rest is there unread

Seen while reading the listener against "a request counts as taken with its last byte": a connection on which some of a request had come could be closed for a newcomer, or at its limit of time, though the rest of it lay in the system's buffer; only idle ones were looked at (Evict, CloseIfOverdue in node/listener.cpp). A process stopped for a moment shows it: of 24 half requests finished meanwhile one lost its connection. Test: Descriptors.ARequestOfWhichTheRestIsAlreadyThereKeepsItsPlace, failed with the program before.

--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -97,13 +97,16 @@
 
   TimePoint since() const { return since_; }
 
-  bool Idle() const { return state_ == State::kReading && !started_; }
+  bool Reading() const { return state_ == State::kReading; }
+  bool Idle() const { return Reading() && !started_; }
 
   // Nothing of a further request has come, not even into the system's buffer.
-  bool SparesClose() {
-    if (!Idle()) return false;
+  bool SparesClose() { return Idle() && !HasUnread(); }
+
+  // The rest of a request may be there already, where this process was short of time to read it.
+  bool HasUnread() {
     error_code error;
-    return socket_.available(error) == 0 || error;
+    return socket_.available(error) > 0 && !error;
   }
 
   // Which goes first when descriptors run out, the lowest number first; nothing where it must stay. Usual
@@ -124,9 +127,10 @@
     if (closed_) return;
     const Duration age = now - since_;
     if (upload_ || (state_ == State::kReading && started_)) {
-      if (Stalled(now)) Reject(http::status::request_timeout, "request did not come in time");
+      if (Stalled(now) && (upload_ || !HasUnread()))
+        Reject(http::status::request_timeout, "request did not come in time");
     } else if (state_ == State::kReading) {
-      if (unused_ && age > kStalled) Close();
+      if (unused_ && age > kStalled && !HasUnread()) Close();
     } else if (state_ == State::kLingering) {
       if (age > linger_) Close();
     } else if (state_ == State::kWriting && answer_) {
@@ -565,7 +569,7 @@
       if (!best || rank < lowest) best = connection, lowest = rank;
     }
     if (!best) return false;
-    if (best->Idle() && !best->SparesClose()) {
+    if (best->Reading() && best->HasUnread()) {
       busy.insert(best.get());
       continue;
     }
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1335,6 +1335,38 @@
 }
 
 // Many clients connect and say nothing: usual clients are served all the same.
+// A request counts as taken with its last byte, read or not: a process short of time must not close on it.
+TEST(Descriptors, ARequestOfWhichTheRestIsAlreadyThereKeepsItsPlace) {
+  Upstream upstream(Upstream::Echo("u"));
+  Node::Options options = With(List({Target("u1", upstream.address())}));
+  options.sockets = 64;
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  const int idle = node.descriptors();
+  std::vector<std::unique_ptr<Client>> clients;
+  const auto text = [](std::size_t i) { return GetText("/page/k", "p" + std::to_string(i), 15000); };
+  // As many as fit: of the next one nothing is taken without closing another.
+  for (std::size_t i = 0; i < 24; ++i) {
+    clients.push_back(std::make_unique<Client>(node.port()));
+    ASSERT_TRUE(clients[i]->Send(text(i).substr(0, 20)));
+  }
+  ASSERT_TRUE(Eventually([&] { return node.descriptors() >= idle + 24; }));
+  std::this_thread::sleep_for(milliseconds(200));  // to read them; where it has not, there is less to see
+  node.Signal(SIGSTOP);
+  Client next(node.port());
+  ASSERT_TRUE(next.Send(text(99)));
+  for (std::size_t i = 0; i < clients.size(); ++i) ASSERT_TRUE(clients[i]->Send(text(i).substr(20)));
+  node.Signal(SIGCONT);
+  for (const auto& client : clients) {
+    const auto response = client->Read();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->result_int(), 200U);
+  }
+  const auto response = next.Read();
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->result_int(), 200U);
+}
+
 TEST(Descriptors, SilentClientsKeepNobodyOut) {
   Upstream upstream(Upstream::Echo("u"));
   Node::Options options = With(List({Target("u1", upstream.address())}));
