Begin no copy of a keyed call when the upstreams may have forgotten the first

The module now says by when it has to begin (three quarters of the window, counted from the first that may have run), the sockets keep that. At fault: SendTo() in src/balancer.cpp, Start() in node/upstreams.cpp. Order() and ListedWeight() only keep the book and move to state.h. Tests, seen to fail without: NoEffectTwice.ACopyOfAKeyedCallBeginsInside... and Outcome.ACopyWhoseConnectionIsNotUpInTheKeysWindowIsNotSent.

--- a/include/kestrellb/balancer.h
+++ b/include/kestrellb/balancer.h
@@ -240,6 +240,8 @@
   UpstreamId upstream;
   Duration timeout{};   // always positive
   Duration max_idle{};  // a connection that has been idle for longer is not to be trusted with it
+  // Where its first byte is not written so soon it must not be sent, and ends as kNotSent.
+  Duration begin_within = Duration::max();
 };
 struct CancelAttempt {  // stop waiting for it; it still ends with one AttemptEnded
   RequestId request{};
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -468,7 +468,7 @@
     Started(id, attempt, std::move(head), std::move(body));
   };
   upstreams_.Send(exchange, action.upstream.value,
-                  {pending.message, pending.body, action.timeout, action.max_idle, on_start, on_end});
+                  {pending.message, pending.body, action.timeout, action.max_idle, action.begin_within, on_start, on_end});
 }
 
 void Sidecar::CarryOut(const kestrellb::CancelAttempt& action) {
--- a/node/upstreams.cpp
+++ b/node/upstreams.cpp
@@ -135,6 +135,7 @@
       opened_ = sent_;
     }
     gives_up_ = sent_ + call_.timeout;
+    begin_by_ = call_.begin_within == Duration::max() ? TimePoint::max() : sent_ + call_.begin_within;
     phase_ = connected_ ? Phase::kWriting : Phase::kConnecting;
     ++use_;
     interim_ = 0;
@@ -143,13 +144,14 @@
       Read();
       return Write();
     }
-    ArmTimer(std::min(gives_up_, sent_ + owner_.connect_timeout_));
+    ArmTimer(std::min({gives_up_, sent_ + owner_.connect_timeout_, begin_by_}));
     const auto pool = pool_.lock();
     socket_.async_connect(pool->location.endpoint, [self = shared_from_this()](error_code error) {
       if (self->closed_) return;
       if (error) return self->End(Cause::kBroken, error);
       self->connected_ = true;
-      if (!self->wanted_) return self->Spare();
+      const bool late = Now() >= self->begin_by_;
+      if (!self->wanted_ || late) return self->Spare();
       self->phase_ = Phase::kWriting;
       self->ArmTimer(self->gives_up_);
       self->Read();
@@ -206,9 +208,9 @@
   std::shared_ptr<Pool> pool() const { return pool_.lock(); }
   bool unsent() const { return phase_ == Phase::kConnecting; }
   TimePoint idle_since() const { return idle_since_; }
+  TimePoint usable_from() const { return usable_from_; }
 
  private:
-  TimePoint usable_from() const { return usable_from_; }
   enum class Phase { kIdle, kConnecting, kWriting, kWaiting };
 
   void ArmTimer(TimePoint at) {
@@ -218,7 +220,8 @@
       // Guards against a timer that fired just before it was set anew.
       if (self->timer_.expiry() > std::chrono::steady_clock::now()) return;
       if (std::exchange(self->holds_back_, false)) return self->StopHoldingBack();
-      self->End(Cause::kTimeout);
+      const bool too_late = self->phase_ == Phase::kConnecting && Now() >= self->begin_by_;
+      self->End(too_late ? Cause::kNotSent : Cause::kTimeout);
     });
   }
 
@@ -448,10 +451,10 @@
   // Carries nothing for `apart`.
   void Rest(Duration apart) {
     idle_since_ = Now();
+    usable_from_ = idle_since_ + apart;
     Clear();
     Watch();
     owner_.Release(shared_from_this());
-    usable_from_ = idle_since_ + apart;
   }
 
   // An idle connection keeps nothing of its last exchange.
@@ -520,12 +523,13 @@
   bool paused_ = false;  // no room in it
   TimePoint sent_;
   TimePoint gives_up_;
+  TimePoint begin_by_;
   TimePoint idle_since_;
+  TimePoint usable_from_;
   error_code why_;
   TimePoint opened_;
   Duration idle_{};  // before this exchange
 };
-  TimePoint usable_from_;
 
 Upstreams::Upstreams(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
                      std::size_t pipe, Descriptors& descriptors)
@@ -611,7 +615,8 @@
     if (by_body && result.outcome == Outcome::kServed) result.load = ParseLoad(result.response.body());
     on_end(std::move(result));
   };
-  Send(id, uid, {request, nullptr, connect_timeout_, max_idle, nullptr, std::move(ended)});
+  Send(id, uid,
+       {request, nullptr, connect_timeout_, max_idle, Duration::max(), nullptr, std::move(ended)});
 }
 
 void Upstreams::Cancel(ExchangeId id) {
--- a/node/upstreams.h
+++ b/node/upstreams.h
@@ -52,9 +52,10 @@
   using OnEnd = std::function<void(ExchangeResult)>;
   struct Call {
     std::shared_ptr<const HttpRequest> request;
-    Body body;            // of a request that passes through
-    Duration timeout{};   // from now; where the body passes through, from its last byte
-    Duration max_idle{};  // of the connection
+    Body body;                                // of a request that passes through
+    Duration timeout{};                       // from now; where the body passes through, from its last byte
+    Duration max_idle{};                      // of the connection
+    Duration begin_within = Duration::max();  // where nothing of it is written by then it ends as not sent
     OnStart on_start;
     OnEnd on_end;
   };
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -150,21 +150,6 @@
     for (const UpstreamPtr& u : entering) u->credit = -Uniform() * turn;
   }
 
-  // The order in which upstreams are taken into the subset: rendezvous hashing, so that the sidecars' subsets
-  // spread evenly and a change of the list changes nobody else's place. Those gone are dropped.
-  void Order() {
-    std::erase_if(index_, [](const auto& entry) {
-      UpstreamState& state = entry.second->info.state;
-      if (!entry.second->listed) state = UpstreamState::kGone;
-      return state == UpstreamState::kGone;
-    });
-    order_.clear();
-    for (const auto& [id, u] : index_) order_.push_back(u);
-    std::sort(order_.begin(), order_.end(), [](const UpstreamPtr& a, const UpstreamPtr& b) {
-      return std::tie(a->rank, a->info.id) < std::tie(b->rank, b->info.id);
-    });
-  }
-
   // As many as it sends the calls that eject one while what the first tells still counts. Guards against a
   // trickle spread so thin that no upstream is met twice: every call would need a new connection and tell
   // nothing of the next. Where calls are many it is the list.
@@ -306,14 +291,6 @@
   // hear of it together do not all pick it next.
   double Turn() const { return ListedWeight() * SubsetShare(); }
 
-  double ListedWeight() const {
-    double sum = 0;
-    for (const UpstreamPtr& u : order_) {
-      if (u->info.state == UpstreamState::kServing) sum += u->info.weight;
-    }
-    return sum;
-  }
-
   // The registered weight, less when cold, by what was observed; squared: a slow one is late far more often.
   double Weight(const Upstream& u) const {
     const double calls = std::max(u.calls, static_cast<double>(kFailuresToEject));
@@ -454,7 +431,7 @@
       if (r.cls->effect == Effect::kUnsafe) return false;
       if (r.cls->effect != Effect::kKeyed) continue;
       // Repeats are dropped only among the upstreams that know the key, and only while they remember it. Half
-      // the window is left for the way there.
+      // the window is left to begin and for the way there.
       if (now_ - a.sent >= r.cls->key_window / 2) return false;
       const UpstreamInfo& first = a.upstream->info;
       const UpstreamInfo& next = upstream.info;
@@ -464,6 +441,17 @@
     return true;
   }
 
+  // A copy whose connection comes up late must not begin when the first that may have run is about forgotten.
+  Duration BeginWithin(const Request& r) const {
+    Duration within = Duration::max();
+    if (r.cls->effect != Effect::kKeyed) return within;
+    for (const Attempt& a : r.attempts) {
+      if (a.outcome && ProvesNotRun(*a.outcome)) continue;
+      within = std::min(within, Duration(a.sent + r.cls->key_window * 3 / 4 - now_));
+    }
+    return within;
+  }
+
   bool MayRefuse(const Request& r) const {
     if (r.cls->effect == Effect::kSafe) return true;
     if (r.cls->effect == Effect::kKeyed && r.cls->key_scope == KeyScope::kAll) return true;
@@ -592,9 +580,10 @@
     }
     const bool connects = !HasConnection(u);
     if (u.idle > 0) --u.idle;
+    const Duration begin_within = BeginWithin(r);
     r.attempts.push_back({upstream, now_, trial, connects, idle_for, held});
     if (!r.open) Hold(r.attempts.back());
-    Emit(SendAttempt{r.id, u.info.id, Timeout(r), trusted_idle_});
+    Emit(SendAttempt{r.id, u.info.id, Timeout(r), trusted_idle_, begin_within});
   }
 
   // A copy of a call that may be repeated tries out an ejected or suspect upstream; the client does not
--- a/src/state.h
+++ b/src/state.h
@@ -177,6 +177,29 @@
     return it == requests_.end() ? nullptr : &it->second;
   }
 
+  // The order in which upstreams are taken into the subset: rendezvous hashing, so that the sidecars' subsets
+  // spread evenly and a change of the list changes nobody else's place. Those gone are dropped.
+  void Order() {
+    std::erase_if(index_, [](const auto& entry) {
+      UpstreamState& state = entry.second->info.state;
+      if (!entry.second->listed) state = UpstreamState::kGone;
+      return state == UpstreamState::kGone;
+    });
+    order_.clear();
+    for (const auto& [id, u] : index_) order_.push_back(u);
+    std::sort(order_.begin(), order_.end(), [](const UpstreamPtr& a, const UpstreamPtr& b) {
+      return std::tie(a->rank, a->info.id) < std::tie(b->rank, b->info.id);
+    });
+  }
+
+  double ListedWeight() const {
+    double sum = 0;
+    for (const UpstreamPtr& u : order_) {
+      if (u->info.state == UpstreamState::kServing) sum += u->info.weight;
+    }
+    return sum;
+  }
+
   // While a body still comes, or its answer is the client's already, its upstream is not what takes the time.
   void Hold(Attempt& a) {
     a.counted = true;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -59,6 +59,7 @@
   std::string upstream;
   Duration timeout{};
   TimePoint at;
+  Duration begin_within{};
 };
 
 class World {
@@ -181,7 +182,8 @@
  private:
   void Record(const SendAttempt& a) {
     EXPECT_GT(a.timeout, Duration::zero());
-    sent.push_back({a.request, AttemptId{attempts_[a.request]++}, a.upstream.value, a.timeout, now});
+    sent.push_back(
+        {a.request, AttemptId{attempts_[a.request]++}, a.upstream.value, a.timeout, now, a.begin_within});
   }
   void Record(const CancelAttempt& a) { cancelled.emplace_back(a.request, a.attempt); }
   void Record(const Refuse& a) {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -765,6 +765,38 @@
   EXPECT_GT(carried, before);
 }
 
+// The copy's connection does not come up while the upstreams remember the first one's key. They would for
+// less than the connection may take.
+TEST(Outcome, ACopyWhoseConnectionIsNotUpInTheKeysWindowIsNotSent) {
+  BlackHole late;
+  std::atomic<bool> told{false};
+  Upstream resets([&](Wire& wire, const Request&, int) {
+    EXPECT_TRUE(Eventually([&] { return told.load(); }));
+    wire.Reset();
+  });
+  const json first = Target("u1", resets.address());
+  Discovery discovery(List({first}));
+  json settings = Settings();
+  settings["Limits"]["ConnectTimeout"] = 19000000;
+  settings["Classes"][2]["KeyScope"] = "zone";
+  settings["Classes"][2]["Aim"] = 15000000;
+  settings["Classes"][2]["Window"] = 4000000;
+  Node::Options options = With(List({first}), settings);
+  options.discovery = discovery.address();
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  Client client(node.port());
+  ASSERT_TRUE(client.Send(PostText("/keyed/k", "a1", "x", 15000, "Idempotency-Key: 1\r\n")));
+  ASSERT_TRUE(Eventually([&] { return resets.requests().size() == 1; }));
+  discovery.Tell(List({first, Target("u2", late.address())}));
+  const int calls = discovery.calls();  // the next one is made when the list was taken in
+  ASSERT_TRUE(Eventually([&] { return discovery.calls() > calls; }));
+  told = true;
+  const auto answer = client.Read();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->result_int(), 502U) << "504 is the end of its time";
+}
+
 // ---- Discovery ----
 
 TEST(Membership, StartsFromKnownWhileDiscoveryIsDown) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -198,6 +198,29 @@
   EXPECT_EQ(w.sent.size(), 1u);
 }
 
+// However short it is: a connection may take longer to come up than the upstreams remember a key.
+TEST(NoEffectTwice, ACopyOfAKeyedCallBeginsInsideTheWindowOfTheFirstThatMayHaveRun) {
+  Settings settings = DefaultSettings();
+  settings.classes[2].key_window = 400ms;
+  settings.limits.connect_timeout = 5s;
+  World w(settings);
+  w.List(4);
+  w.Arrive(kKeyedAll);
+  ASSERT_EQ(w.sent.size(), 1u);
+  EXPECT_EQ(w.sent[0].begin_within, Duration::max());
+  w.Advance(50ms);
+  w.Finish(w.sent[0], Outcome::kConnectFailed);  // it did not run: nothing is remembered
+  ASSERT_EQ(w.sent.size(), 2u);
+  EXPECT_EQ(w.sent[1].begin_within, Duration::max());
+  for (std::size_t copy = 2; copy < 4; ++copy) {
+    w.Advance(60ms);
+    w.Finish(w.sent[copy - 1], Outcome::kReset);
+    ASSERT_EQ(w.sent.size(), copy + 1);
+    EXPECT_GT(w.sent[copy].begin_within, Duration::zero());
+    EXPECT_LT(w.sent[copy].begin_within, w.sent[1].at + 400ms - w.now);
+  }
+}
+
 TEST(NoEffectTwice, NoSecondCopyWhereTheDeploymentForbidsIt) {
   Settings s = DefaultSettings();
   s.limits.second_copies = false;
