Ask one service for all again inside the time after which a change counts as told

Read: a call there was given up after 5 s, the pause behind it grew to 5.25 s, and a watch of 5 s that fell silent was borne for 6 s: with a call behind them up to 15 s, where a change counts as told 6 s after discovery had it. Now every chain of wait, patience, pause and call stays inside kTold by derivation from named constants in node/discovery.h, whatever the failure and however many came before; the agent's likewise (an answer that drips on was borne for 6 s). A watch that broke is opened anew at once also behind a refusal. Tests: Membership.EveryWayToMissAChange..., Membership.AServiceThatFailsOverAndOver... (fails without: 5 s and more between two calls).

--- a/include/kestrellb/balancer.h
+++ b/include/kestrellb/balancer.h
@@ -95,6 +95,9 @@
   std::size_t streams = 1;                         // attempts that one connection carries at a time
 };
 
+// Membership on request: after a failure the next Subscribe comes within this time.
+constexpr Duration kLongestAskPause = std::chrono::milliseconds(1750);
+
 struct Rules {
   Duration answer_grace =
       std::chrono::milliseconds(20);               // a final answer this long after the deadline counts
--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -24,15 +24,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// A watch asks to be answered by then. What a watch that fell silent misses counts as told 6 s after it fell
-// silent, or 2 s after its wait is over if that is later: 7 s after it began at the soonest.
-constexpr auto kWatch = milliseconds(5000);
-// A watch at the one service for all: given up so long after its wait, it leaves a second to ask anew.
-constexpr auto kWatchPatience = milliseconds(1000);
-// So long a whole answer may take, once it has begun or where it is waited for beside the next call. The one
-// service for all works through the calls in turn, and giving up on it early would only add to its work.
-constexpr auto kAgentPatience = milliseconds(1000);
-constexpr auto kServicePatience = milliseconds(5000);
 // Of the grace for drains: so much passes at most before a call that an agent does not answer is given up,
 // and as much in the pause that follows. What is asked of it while it is down is not answered at its return
 // either, and from its return on what it holds counts as told. Half of the grace is left for a new
@@ -43,8 +34,6 @@
 // this after the last was sent, so that an agent that answers at once is not asked in a spin.
 constexpr auto kLeastGap = milliseconds(50);
 constexpr int kPauseSteps = 3;  // doublings up to the longest pause
-// The watches of a fleet can fall silent together: they ask anew spread over this part of a second.
-constexpr auto kServicePause = milliseconds(500);
 constexpr std::uint64_t kMostList = 4 * 1024 * 1024;
 // Beyond these (the year 2286; a million times the usual machine) a list is damaged.
 constexpr std::int64_t kMostBootMs = 9'999'999'999'999;
@@ -110,7 +99,7 @@
 }
 
 Duration SilencePatience(Duration drain_grace) {
-  return std::clamp<Duration>(drain_grace / kSilencePart, kLeastSilence, kAgentPatience);
+  return std::clamp<Duration>(drain_grace / kSilencePart, kLeastSilence, kMostSilence);
 }
 
 // One connection to discovery and the call on it. A new one is made after any failure.
@@ -248,11 +237,12 @@
   if (!call_) call_ = std::make_shared<Call>(*this);
   std::string target = "/discovery/hosts";
   Duration wait{};
-  Duration patience = on_request_ ? kServicePatience : kAgentPatience;
+  Duration patience = on_request_ ? kServiceCall : kAgentPatience;
   if (revision_) {
-    target += "?index=" + std::to_string(*revision_) + "&wait=" + std::to_string(kWatch.count());
-    wait = kWatch;
-    patience = kWatchPatience;
+    wait = on_request_ ? kServiceWatch : kAgentWatch;
+    if (on_request_) patience = kServiceWatchPatience;
+    const auto wait_ms = std::chrono::duration_cast<milliseconds>(wait).count();
+    target += "?index=" + std::to_string(*revision_) + "&wait=" + std::to_string(wait_ms);
   }
   call_->Start(target, wait + patience);
   if (!on_request_) Listen(wait + silence_, 0);
@@ -312,9 +302,10 @@
   if (std::exchange(failure_, why) != why) log_.Line("discovery: " + why);
   const double chance = std::generate_canonical<double, 32>(random_);
   if (!on_request_) return StartIn(PauseAfter(failures_, silence_, chance));
-  // A watch that broke says nothing of the service, and there is little time to hear what it missed.
-  if (watched && !answered && failures_ == 1) {
-    return StartIn(std::chrono::duration_cast<Duration>(Duration(kServicePause) * chance));
+  // A watch that broke says nothing of the service, and there is little time to hear what it missed. Those of
+  // a fleet can fall silent together: they ask anew spread over the pause.
+  if (watched && !answered) {
+    return StartIn(std::chrono::duration_cast<Duration>(kServicePause * chance));
   }
   running_ = false;
   on_failed_();
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -30,6 +30,26 @@
 // Throws std::exception, naming what is wrong with the list.
 MembershipList ParseList(const nlohmann::json& body, const UnixClock& clock);
 
+// What discovery has counts as told so long after it had it and could be reached, whether it came or not.
+// Every way to miss a change and to ask anew has to stay inside this.
+constexpr Duration kTold = std::chrono::seconds(6);
+
+// An agent on this machine: a watch that says nothing or never ends, then a pause and a call.
+constexpr Duration kAgentWatch = std::chrono::milliseconds(4500);
+// So long a whole answer may take, once it has begun or where it is waited for beside the next call.
+constexpr Duration kAgentPatience = std::chrono::milliseconds(1000);
+constexpr Duration kMostSilence = std::chrono::milliseconds(150);  // of a call, and of a pause
+static_assert(kAgentWatch + kAgentPatience + 3 * kMostSilence < kTold);
+
+// The one service for all, that works through the calls in turn: a watch that fell silent as it began, then a
+// short pause and a call; or a call in vain, the module's pause and another call.
+constexpr Duration kServiceWatch = std::chrono::milliseconds(3000);
+constexpr Duration kServiceWatchPatience = std::chrono::milliseconds(750);
+constexpr Duration kServicePause = std::chrono::milliseconds(250);
+constexpr Duration kServiceCall = std::chrono::milliseconds(2000);
+static_assert(kServiceWatch + kServiceWatchPatience + kServicePause + kServiceCall <= kTold);
+static_assert(kServiceCall + kestrellb::kLongestAskPause + kServiceCall <= kTold);
+
 // The wait after so many failures in a row: it grows up to `most`, and is not in step with what other
 // sidecars wait that lost discovery at the same time. `chance`: from 0 to 1.
 Duration PauseAfter(int failures, Duration most, double chance);
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -102,7 +102,7 @@
  public:
   Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
     settings_.Validate();
-    ask_pause_ = settings_.rules.ask_within / 10;
+    ask_pause_ = LongestAskPause() / 2;
     trusted_idle_ = settings_.limits.idle_close;
     retry_budget_ = kRetryBurst;
     if (settings_.load_by_probe && settings_.limits.probes) {
@@ -135,10 +135,10 @@
     if (update.kind == MembershipUpdate::Kind::kFailed) {
       // Not at once, that would add to what made it fail; well inside `ask_within` the list still holds.
       if (settings_.membership_on_request) ask_again_at_ = now_ + Scaled(ask_pause_, 1 + Uniform());
-      ask_pause_ = std::min(2 * ask_pause_, settings_.rules.ask_within / 4);
+      ask_pause_ = std::min(2 * ask_pause_, LongestAskPause());
       return;
     }
-    if (update.kind != MembershipUpdate::Kind::kRestored) ask_pause_ = settings_.rules.ask_within / 10;
+    if (update.kind != MembershipUpdate::Kind::kRestored) ask_pause_ = LongestAskPause() / 2;
     // What a whole list leaves out is gone.
     for (const UpstreamPtr& u : order_) u->listed = update.kind == MembershipUpdate::Kind::kChanges;
     std::vector<UpstreamPtr> entering;
@@ -150,6 +150,11 @@
     for (const UpstreamPtr& u : entering) u->credit = -Uniform() * turn;
   }
 
+  // Up to twice that is waited, and the next housekeeping acts on it.
+  Duration LongestAskPause() const {
+    return std::min(settings_.rules.ask_within / 4, (kLongestAskPause - kHousekeeping) / 2);
+  }
+
   // As many as it sends the calls that eject one while what the first tells still counts. Guards against a
   // trickle spread so thin that no upstream is met twice: every call would need a new connection and tell
   // nothing of the next. Where calls are many it is the list.
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -392,6 +392,7 @@
   EXPECT_GT(third, first);
   for (int i = 0; i < 20; ++i) third = std::max(third, pause());
   EXPECT_LT(third, s.rules.ask_within);
+  EXPECT_LE(third, kLongestAskPause);
   w.Full({Up("a"), Up("b")});
   EXPECT_LT(pause(), s.rules.ask_within / 4);
 }
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1092,12 +1092,75 @@
   Node node(options);
   ASSERT_TRUE(node.Listening());
   ASSERT_TRUE(Eventually([&] { return watches == 1; }));
-  // The request's time-out is the clock: with a module's pause behind it the second list comes later.
+  // The request's time-out is the clock, what is missed counts as told by then: with a longer wait, or a
+  // module's pause behind it, the second list comes later.
   Client client(node.port());
-  ASSERT_TRUE(client.Post("/submit/k", "a1", "x", 8000));
+  ASSERT_TRUE(client.Post("/submit/k", "a1", "x", 6000));
   EXPECT_EQ(lists, 2);
 }
 
+TEST(Membership, EveryWayToMissAChangeStaysInsideWhatCountsAsTold) {
+  for (const int grace_ms : {0, 40, 300, 1000, 5000, 60000}) {
+    const Duration silence = SilencePatience(milliseconds(grace_ms));
+    for (const int failures : {1, 4, 1000}) {
+      const Duration pause = PauseAfter(failures, silence, 1);
+      EXPECT_LE(kAgentWatch + silence + pause + silence, kTold) << "a watch falls silent";
+      EXPECT_LE(kAgentWatch + kAgentPatience + pause + silence, kTold) << "or never ends";
+      EXPECT_LE(silence + pause + silence, kTold) << "a call is in vain";
+    }
+  }
+  EXPECT_LE(kServiceWatch + kServiceWatchPatience + kServicePause + kServiceCall, kTold);
+  EXPECT_LE(kServiceCall + kestrellb::kLongestAskPause + kServiceCall, kTold);
+}
+
+// Each call in vain, of whatever kind and however many came before it, is followed by the next one in time.
+TEST(Membership, AServiceThatFailsOverAndOverIsAskedInTimeForWhatCountsAsTold) {
+  using Clock = std::chrono::steady_clock;
+  Upstream a(Upstream::Echo("a"));
+  Upstream b(Upstream::Echo("b"));
+  std::mutex mutex;
+  std::vector<Clock::time_point> calls;
+  const std::string list =
+      json{{"rev", 7},
+           {"all", true},
+           {"targets", List({Target("u1", a.address(), "leaving"), Target("u2", b.address())})}}
+          .dump();
+  Peer service([&](Wire& wire, int) {
+    while (wire.ReadRequest()) {
+      std::size_t number = 0;
+      {
+        const std::lock_guard lock(mutex);
+        number = calls.size();
+        calls.push_back(Clock::now());
+      }
+      if (number == 0 || number == 3) wire.Reset();
+      if (number == 1) wire.Answer(503, "");
+      if (number == 2 || number == 4) wire.ReadsEnd();
+      if (number == 5) wire.Answer(200, "no list");
+      if (number > 5 && !wire.Answer(200, list)) return;
+    }
+  });
+  json settings = Settings();
+  settings["MembershipMode"] = "on_request";
+  settings["Rules"]["MustAskIn"] = 60000000;
+  Node::Options options = With(List({Target("u1", a.address())}), settings);
+  options.discovery = service.address();
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  EXPECT_TRUE(Eventually([&] {
+    const std::lock_guard lock(mutex);
+    return calls.size() > 6;
+  }));
+  EXPECT_TRUE(BecomesServedBy(node, "b /page/k"));
+  const std::lock_guard lock(mutex);
+  // A watch is over the sooner the more is left for the next call; a call in vain leaves as much as it took.
+  for (std::size_t i = 0; i + 1 < 7; ++i) EXPECT_LT(calls[i + 1] - calls[i], kTold) << i;
+  const std::size_t sent = a.requests().size();
+  Client client(node.port());
+  for (int i = 0; i < 5; ++i) ASSERT_TRUE(client.Get("/page/k", "z" + std::to_string(i)));
+  EXPECT_EQ(a.requests().size(), sent);
+}
+
 // 350 processes and some hundreds of upstreams are usual; more than a thousand have to work.
 TEST(Membership, AThousandUpstreamsAreFollowedAndServe) {
   Upstream old(Upstream::Echo("old"));
