Take SIGTERM during the start as a planned stop that waits until the start is over

Read: the signal was asked for once the sidecar was there; before that it killed a process that listened already, with what its queue held. At fault: main() in node/main.cpp. Test: Start.ASignalThatComesDuringItEndsItInGoodOrder (the process before holds the start up while the signal comes; ended by signal 15 without). Also a test, that passed as the program was, of resting clients beside discovery, upstreams and operators at 64, 256 and 1,024 descriptors.

--- a/node/main.cpp
+++ b/node/main.cpp
@@ -36,7 +36,9 @@
   std::signal(SIGPIPE, SIG_IGN);
   try {
     boost::asio::io_context io(1);
+    // Before anything that a signal could cut short: one that comes during the start waits until it is over.
     boost::asio::signal_set reload(io, SIGHUP);
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     const mothrack::Config config = LoadConfig();
     mothrack::Sidecar sidecar(io, config);
     ReloadOnSignal(reload, sidecar);
@@ -44,7 +46,6 @@
     if (const auto admin = sidecar.admin()) {
       std::cerr << config.name << ": operators at " << *admin << std::endl;
     }
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& error, int) {
       if (!error) sidecar.Drain([&io] { io.stop(); });
     });
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -1,5 +1,9 @@
 // What operators do to the real program: calls at their door, upstreams taken out, clients sent away.
+#include <sys/resource.h>
+#include <sys/stat.h>
+
 #include <atomic>
+#include <boost/asio/local/stream_protocol.hpp>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -353,6 +357,53 @@
   EXPECT_EQ(crowd.lost(), 0);
 }
 
+// Clients that rest take all they are left, while discovery is down: its next connection, those to upstreams
+// and the operators' need none of theirs.
+TEST(Descriptors, RestingClientsLeaveRoomForDiscoveryUpstreamsAndOperators) {
+  for (const int limit : {64, 256, 1024}) {
+    rlimit files{};
+    ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &files), 0);
+    files.rlim_cur = files.rlim_max;
+    ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &files), 0);
+    const Folder folder;
+    Upstream upstream(Upstream::Echo("u1"));
+    Discovery discovery(List({Target("u1", upstream.address())}));
+    discovery.Set(Discovery::Mood::kBreaks);
+    Node::Options options = Operated(json::array(), folder.path());
+    options.discovery = discovery.address();
+    options.sockets = limit;
+    Node node(options);
+    ASSERT_TRUE(node.Listening());
+    std::vector<std::unique_ptr<Client>> resting;
+    for (int i = 0; i < limit; ++i) {
+      resting.push_back(std::make_unique<Client>(node.port()));
+      resting.back()->Send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+      ASSERT_TRUE(resting.back()->Read()) << i;
+    }
+    EXPECT_LE(node.descriptors(), limit);
+    EXPECT_EQ(node.Status("GET", "/ready"), 503U);
+    discovery.Set(Discovery::Mood::kAnswers);
+    EXPECT_TRUE(Eventually([&] { return node.Status("GET", "/ready") == 200U; }));
+    Client usual(node.port());
+    const auto answer = usual.Get("/page/k", "a");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body(), "u1 /page/k");
+    EXPECT_LE(node.descriptors(), limit);
+  }
+}
+
+// The process before does not hand over, and SIGTERM comes while it is waited for.
+TEST(Start, ASignalThatComesDuringItEndsItInGoodOrder) {
+  const Folder folder;
+  ASSERT_EQ(::mkdir((folder.path() + "/mothrack").c_str(), 0700), 0);
+  boost::asio::io_context io;
+  boost::asio::local::stream_protocol::acceptor before(io, folder.path() + "/mothrack/handover");
+  Node node(Operated(json::array(), folder.path()));
+  const auto waiting = before.accept();
+  node.Signal(SIGTERM);
+  EXPECT_EQ(node.Wait(), 0);
+}
+
 TEST_F(Upgrade, TheTwoKeepToOneLimitOfDescriptors) {
   auto node = StartNode("127.0.0.1:0", 160);
   ASSERT_TRUE(Ready(*node));
