Begin nothing for a client that has gone, and serve one that only ended its sending

Behind pipelined bytes for which there is no room it was not heard at all; where a process was short of time a request and its client's close were there together and the request was sent on; and whoever half-closed to wait for the answer was cut off. Now a client is looked at when its request is read, and again where an attempt begins over 50 ms later or its connection had to come up; behind unread bytes by POLLRDHUP. With it, in the same places: /up says no until an upstream is known; a resting connection is ended by a half-close that waits for the client, not by a close alone. Tests, seen to fail without: Application.ThatEndsItsSending..., .ThatLeavesWithMoreSentAhead..., .ThatHadGoneWhen..., Process.SaysUpOnceThereIsAnUpstream (in place of AnswersUp, which took a process without any upstream for up). Process.WhatCrossesTheEnd... guards the last, and passed before.

--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -1,5 +1,6 @@
 #include "listener.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/socket_base.hpp>
@@ -56,6 +57,13 @@
 // A connection opened in that time is about to carry a request.
 constexpr Duration kFreshConnection = milliseconds(300);
 constexpr Duration kAcceptPause = milliseconds(20);
+// A client that has ended its sending has closed, or it still waits for its answer, as HTTP allows. It is
+// sent an interim answer: one that has closed answers anything with a reset, well within this time.
+constexpr char kAreYouThere[] = "HTTP/1.1 102 Processing\r\n\r\n";
+constexpr Duration kResetWithin = milliseconds(5);
+// For so long no news of a client is good news. Nothing is to begin 0.1 s after it has gone, also where this
+// process is short of time and what came from the client is unread.
+constexpr Duration kNoNews = milliseconds(50);
 
 }  // namespace
 
@@ -66,7 +74,8 @@
   Connection(Listener& owner, tcp::socket socket)
       : owner_(&owner),
         slot_(std::in_place, owner.descriptors_, Descriptors::Side::kClient),
-        socket_(std::move(socket)) {
+        socket_(std::move(socket)),
+        look_(owner.io_) {
     buffer_.max_size(kMostRead);
     NewParser();
   }
@@ -78,6 +87,7 @@
     closed_ = true;
     error_code ignored;
     socket_.close(ignored);
+    look_.cancel();
     slot_.reset();
     EndUpload();
     if (answer_) {
@@ -95,6 +105,22 @@
     Close();
   }
 
+  // Ends an idle one. Not by a close alone: over a request that comes in that moment it would be a reset.
+  void End() {
+    close_after_ = true;
+    Linger();
+    Read();
+  }
+
+  bool Here() {
+    if (closed_ || there_) return !closed_;
+    const TimePoint now = Now();
+    if (now - looked_ < kNoNews) return true;
+    if (ended_ || LooksEnded()) return false;
+    looked_ = now;
+    return true;
+  }
+
   TimePoint since() const { return since_; }
 
   bool Reading() const { return state_ == State::kReading; }
@@ -172,7 +198,8 @@
 
   // Waits without a buffer: hundreds of connections may be idle.
   void Read() {
-    if (reading_ || closed_ || buffer_.size() == buffer_.max_size()) return;
+    if (reading_ || closed_ || ended_) return;
+    if (buffer_.size() == buffer_.max_size()) return LookAgain();
     reading_ = true;
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
       self->reading_ = false;
@@ -187,11 +214,63 @@
     error_code error;
     const std::size_t size = socket_.read_some(buffer_.prepare(room), error);
     if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) return Read();
+    if (error == boost::asio::error::eof) return Ended();
     if (error) return Close();
     buffer_.commit(size);
     Progress();
   }
 
+  // No more will come: there is an answer to wait for, or nothing. While one is written that tells the rest.
+  void Ended() {
+    ended_ = true;
+    if (state_ == State::kWriting) return;
+    if (state_ != State::kServing || upload_) return Close();
+    Ask();
+  }
+
+  void Ask() {
+    if (there_ || std::exchange(asking_, true)) return;
+    if (version_ < 11) return Close();  // knows no interim answers
+    error_code error;
+    socket_.write_some(boost::asio::buffer(kAreYouThere, sizeof kAreYouThere - 1), error);
+    if (error || WasReset()) return Close();
+    look_.expires_after(kResetWithin);
+    look_.async_wait([self = shared_from_this()](error_code stopped) {
+      if (stopped || self->closed_ || self->owner_ == nullptr) return;
+      if (self->WasReset()) return self->Close();
+      self->there_ = true;
+      if (self->waiting_) self->Serve(*std::exchange(self->waiting_, std::nullopt), nullptr);
+      self->Read();
+    });
+  }
+
+  bool WasReset() {
+    int failed = 0;
+    socklen_t size = sizeof failed;
+    return ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &failed, &size) != 0 || failed != 0;
+  }
+
+  // Has it closed, or ended its sending? Also where bytes before that are unread.
+  bool LooksEnded() {
+    char byte = 0;
+    const auto size = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size <= 0) return size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    pollfd look{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
+  }
+
+  // With no room to read, its end is looked for behind what is unread.
+  void LookAgain() {
+    if (asking_ || state_ != State::kServing) return;
+    look_.expires_after(kNoNews);
+    look_.async_wait([self = shared_from_this()](error_code stopped) {
+      if (stopped || self->closed_ || self->owner_ == nullptr) return;
+      if (self->buffer_.size() < self->buffer_.max_size()) return;
+      if (self->state_ == State::kServing && self->LooksEnded()) return self->Ask();
+      self->LookAgain();
+    });
+  }
+
   void Progress() {
     if (state_ == State::kLingering) {
       if (linger_ == kLinger) lingered_ += buffer_.size();
@@ -199,6 +278,7 @@
       if (lingered_ > kMostLinger) return Close();
     }
     Parse();
+    if (ended_ && state_ == State::kReading) return Close();  // the rest of it will not come
     Read();
   }
 
@@ -327,17 +407,32 @@
     state_ = State::kServing;
     if (target == "/up" && request.method() == http::verb::get) {
       // What another process serves is up: no client is to stay away.
-      const bool up = owner_->handed_over_ ? !owner_->away_ : !owner_->Leaving();
-      return Answer(!up ? PlainResponse(http::status::service_unavailable, "draining")
-                        : PlainResponse(http::status::ok, "up"),
-                    nullptr);
+      const bool leaving = owner_->handed_over_ ? owner_->away_ : owner_->Leaving();
+      const char* no = leaving ? "draining" : owner_->can_serve_() ? nullptr : "no upstream is known";
+      return Answer(
+          no ? PlainResponse(http::status::service_unavailable, no) : PlainResponse(http::status::ok, "up"),
+          nullptr);
+    }
+    looked_ = Now();
+    if (LooksEnded()) {
+      if (!body) waiting_ = std::move(request);
+      Ask();
+      if (closed_ || waiting_) return;
     }
+    Serve(std::move(request), std::move(body));
+  }
+
+  void Serve(HttpRequest request, Body body) {
     auto reply = [self = shared_from_this()](HttpResponse response, Body answer) {
       self->gone_ = nullptr;
       if (!self->closed_) return self->Answer(std::move(response), std::move(answer));
       if (answer) answer->Leave();
     };
-    auto gone = owner_->on_request_(std::move(request), std::move(body), std::move(reply));
+    auto here = [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      return self && self->Here();
+    };
+    auto gone = owner_->on_request_(std::move(request), std::move(body), std::move(reply), std::move(here));
     if (state_ == State::kServing) gone_ = std::move(gone);
   }
 
@@ -348,6 +443,7 @@
     EndUpload();
     // The one who finds a request unfit asks for the close by the answer.
     if (!response.keep_alive() || (owner_ != nullptr && owner_->Leaving())) close_after_ = true;
+    if (ended_ && buffer_.size() == 0) close_after_ = true;
     response_ = std::move(response);
     response_.version(version_);
     if (body) return Pass(std::move(body));
@@ -425,11 +521,9 @@
     passing_ = {};
     writing_ = false;
     response_ = {};
+    if (close_after_ && ended_) return Close();
     if (close_after_) {
-      state_ = State::kLingering;
-      since_ = Now();
-      error_code ignored;
-      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+      Linger();
     } else {
       state_ = State::kReading;
       NewParser();
@@ -437,9 +531,22 @@
     Progress();
   }
 
+  void Linger() {
+    state_ = State::kLingering;
+    since_ = Now();
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
   Listener* owner_;
   std::optional<Descriptors::Slot> slot_;
   tcp::socket socket_;
+  boost::asio::steady_timer look_;
+  std::optional<HttpRequest> waiting_;  // until it is known whether its client is there
+  TimePoint looked_;                    // nothing said by then that the client had gone
+  bool ended_ = false;                  // it has ended its sending
+  bool asking_ = false;                 // whether it is there, once
+  bool there_ = false;                  // it is, and waits for its answer all the same
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::buffer_body>> parser_;
   std::string body_;  // of a request that is still to come whole
@@ -470,12 +577,13 @@
 
 Listener::Listener(boost::asio::io_context& io, const Endpoint& endpoint, bool shared,
                    std::optional<int> listening, std::size_t pipe, Descriptors& descriptors, Logger& log,
-                   OnRequest on_request)
+                   OnRequest on_request, std::function<bool()> can_serve)
     : io_(io),
       pipe_(pipe),
       descriptors_(descriptors),
       log_(log),
       on_request_(std::move(on_request)),
+      can_serve_(std::move(can_serve)),
       acceptor_(io),
       pause_(io),
       sweep_(io) {
@@ -611,7 +719,7 @@
   const TimePoint now = Now();
   const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
   for (const auto& connection : all) {
-    if (Leaving() && !connection->Fresh(now) && connection->SparesClose()) connection->Close();
+    if (Leaving() && !connection->Fresh(now) && connection->SparesClose()) connection->End();
     connection->CloseIfOverdue(now);
   }
   if (drained_ && acceptor_.is_open() && now - drain_started_ > kAcceptWhileDraining) CloseAcceptor();
--- a/node/listener.h
+++ b/node/listener.h
@@ -24,14 +24,17 @@
   using Reply = std::function<void(HttpResponse, Body body)>;
   // What is to be done when the client leaves before its answer.
   using OnGone = std::function<void()>;
+  // Is the client still there, as far as is known by now? For what begins later than its request came.
+  using Here = std::function<bool()>;
   // Takes one request and calls `reply` once, perhaps at once. `body`: of a request that passes through.
-  using OnRequest = std::function<OnGone(HttpRequest request, Body body, Reply reply)>;
+  using OnRequest = std::function<OnGone(HttpRequest request, Body body, Reply reply, Here here)>;
 
-  // `pipe`: how much of a body that passes through is held.
+  // `can_serve`: `/up` says no until then. `pipe`: how much of a body that passes through is held.
   // Binds and listens, with other processes where it is `shared`, or takes over `listening`, a socket that
   // does so already; throws boost::system::system_error.
   Listener(boost::asio::io_context& io, const Endpoint& endpoint, bool shared, std::optional<int> listening,
-           std::size_t pipe, Descriptors& descriptors, Logger& log, OnRequest on_request);
+           std::size_t pipe, Descriptors& descriptors, Logger& log, OnRequest on_request,
+           std::function<bool()> can_serve);
   ~Listener();
 
   void Start();  // takes clients from now on; once is enough
@@ -64,6 +67,7 @@
   Descriptors& descriptors_;
   Logger& log_;
   const OnRequest on_request_;
+  const std::function<bool()> can_serve_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   boost::asio::steady_timer sweep_;
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -149,10 +149,13 @@
           }),
       timer_(io),
       patience_(io),
-      listener_(io, config.listen, config.admin.has_value(), Listening(handover_, config.listen), config.pipe,
-                descriptors_, log_, [this](HttpRequest request, Body body, Listener::Reply reply) {
-                  return Take(std::move(request), std::move(body), std::move(reply));
-                }) {
+      listener_(
+          io, config.listen, config.admin.has_value(), Listening(handover_, config.listen), config.pipe,
+          descriptors_, log_,
+          [this](HttpRequest request, Body body, Listener::Reply reply, Listener::Here here) {
+            return Take(std::move(request), std::move(body), std::move(reply), std::move(here));
+          },
+          [this] { return upstream_told_; }) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
     classes_.emplace(settings_.classes[i].name, kestrellb::ClassId{i});
   }
@@ -306,10 +309,11 @@
     events_.push_back(std::move(list.update));
     for (const auto& [uid, location] : list.locations) upstreams_.Apply(uid, location);
   }
+  upstream_told_ = upstream_told_ || !upstreams_.Known().empty();
   Pump();
 }
 
-Listener::OnGone Sidecar::Take(HttpRequest request, Body body, Listener::Reply reply) {
+Listener::OnGone Sidecar::Take(HttpRequest request, Body body, Listener::Reply reply, Listener::Here here) {
   const TimePoint now = Now();
   const auto bad = [&reply](const std::string& why) {
     reply(Unfit(why), nullptr);
@@ -350,6 +354,7 @@
   pending.message = std::make_shared<const HttpRequest>(std::move(request));
   pending.deadline = event.deadline;
   pending.reply = std::move(reply);
+  pending.here = std::move(here);
   const RequestId id = event.request;
   if (body) {
     pending.deadline = TimePoint::max();
@@ -462,13 +467,14 @@
   ++pending.out;
   const auto on_end = [this, id = action.request, attempt, uid = action.upstream.value](
                           ExchangeResult result) { Ended(id, attempt, uid, std::move(result)); };
-  // The client left or has its answer: nothing more is sent for it.
-  if (!pending.reply) return on_end({Outcome::kNotSent, {}, {}, {}});
+  // The client left, perhaps unheard so far, or has its answer: nothing more is sent for it.
+  if (!pending.reply || !pending.here()) return on_end({Outcome::kNotSent, {}, {}, {}});
   const auto on_start = [this, id = action.request, attempt](HttpResponse head, Body body) {
     Started(id, attempt, std::move(head), std::move(body));
   };
   upstreams_.Send(exchange, action.upstream.value,
-                  {pending.message, pending.body, action.timeout, action.max_idle, action.begin_within, on_start, on_end});
+                  {pending.message, pending.body, action.timeout, action.max_idle, action.begin_within,
+                   pending.here, on_start, on_end});
 }
 
 void Sidecar::CarryOut(const kestrellb::CancelAttempt& action) {
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -51,6 +51,7 @@
     Body body;  // of a request that passes through
     TimePoint deadline;
     Listener::Reply reply;  // empty once the request has its answer or its client is gone
+    Listener::Here here;
     std::vector<Upstreams::ExchangeId> attempts;
     std::size_t out = 0;                            // attempts that have not ended
     std::optional<kestrellb::AttemptId> answering;  // the one whose answer passes through
@@ -59,7 +60,7 @@
   void Deliver(kestrellb::Event event);
   void Pump();
   void Apply(MembershipList list);
-  Listener::OnGone Take(HttpRequest request, Body body, Listener::Reply reply);
+  Listener::OnGone Take(HttpRequest request, Body body, Listener::Reply reply, Listener::Here here);
   // The last byte of a request that passes through has come, or it never will.
   void BodyEnded(kestrellb::RequestId id, Duration timeout);
   void Started(kestrellb::RequestId id, kestrellb::AttemptId attempt, HttpResponse head, Body body);
@@ -116,8 +117,9 @@
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   boost::asio::steady_timer timer_;
   TimePoint armed_for_ = TimePoint::max();
-  std::set<std::string> out_;  // upstreams that the module and the sockets know to be taken out
-  bool list_told_ = false;     // discovery has told a list since the start
+  std::set<std::string> out_;   // upstreams that the module and the sockets know to be taken out
+  bool list_told_ = false;      // discovery has told a list since the start
+  bool upstream_told_ = false;  // by discovery or as known: there has been one to serve with
   const TimePoint started_ = Now();
   boost::asio::steady_timer patience_;  // for discovery's first list
   bool serving_ = false;
--- a/node/upstreams.cpp
+++ b/node/upstreams.cpp
@@ -151,7 +151,7 @@
       if (error) return self->End(Cause::kBroken, error);
       self->connected_ = true;
       const bool late = Now() >= self->begin_by_;
-      if (!self->wanted_ || late) return self->Spare();
+      if (!self->wanted_ || late || (self->call_.wanted && !self->call_.wanted())) return self->Spare();
       self->phase_ = Phase::kWriting;
       self->ArmTimer(self->gives_up_);
       self->Read();
@@ -616,7 +616,7 @@
     on_end(std::move(result));
   };
   Send(id, uid,
-       {request, nullptr, connect_timeout_, max_idle, Duration::max(), nullptr, std::move(ended)});
+       {request, nullptr, connect_timeout_, max_idle, Duration::max(), nullptr, nullptr, std::move(ended)});
 }
 
 void Upstreams::Cancel(ExchangeId id) {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -480,6 +480,89 @@
   EXPECT_TRUE(ended.get_future().get());
 }
 
+// Whoever only ends its sending waits for the answer, also for one that takes an attempt after that end was
+// seen.
+TEST(Application, ThatEndsItsSendingAndStillWaitsIsServed) {
+  Gate asked, go;
+  Upstream upstream([&](Wire& wire, const Request& request, int number) {
+    if (number == 0) {
+      asked.Open();
+      go.Pass();
+      wire.Answer(503, "", "X-Not-Processed: 1\r\n");
+    } else {
+      wire.Answer(200, std::string(request.target()));
+    }
+  });
+  json settings = Settings();
+  settings["Classes"][1]["Aim"] = 15000000;
+  Node node(With(List({Target("u1", upstream.address()), Target("u2", upstream.address())}), settings));
+  ASSERT_TRUE(node.Listening());
+  for (const char* id : {"in work", "at once"}) {
+    Client client(node.port());
+    const std::string target = std::string("/submit/") + id[0];
+    ASSERT_TRUE(client.Send(PostText(target, id[0] == 'i' ? "a1" : "a2", "x", 15000)));
+    if (id[0] == 'i') asked.Pass();
+    client.wire.socket.shutdown(tcp::socket::shutdown_send);
+    if (id[0] == 'i') {
+      // It has been asked whether it is there, and did not say no.
+      const auto interim = client.Read();
+      ASSERT_TRUE(interim);
+      EXPECT_EQ(interim->result_int(), 102U);
+      go.Open();
+    }
+    auto answer = client.Read();
+    while (answer && answer->result_int() == 102U) answer = client.Read();
+    ASSERT_TRUE(answer) << id;
+    EXPECT_EQ(answer->result_int(), 200U);
+    EXPECT_EQ(answer->body(), target);
+    EXPECT_TRUE(client.wire.ReadsEnd());
+  }
+}
+
+// The client's end is behind bytes that there is no room for: its request must not begin when a connection
+// for it comes up at last.
+TEST(Application, ThatLeavesWithMoreSentAheadThanThereIsRoomForIsSeenToGo) {
+  std::promise<bool> ended;
+  Gate asked;
+  Upstream upstream([&](Wire& wire, const Request&, int) {
+    asked.Open();
+    ended.set_value(wire.ReadsEnd());
+  });
+  json settings = Settings();
+  settings["Classes"][0]["Aim"] = 40000000;
+  Node node(With(List({Target("u1", upstream.address())}), settings));
+  ASSERT_TRUE(node.Listening());
+  {
+    Client client(node.port());
+    ASSERT_TRUE(
+        client.Send(GetText("/page/k", "a1", 40000) + PostText("/submit/k", "a2", std::string(60000, 'x'))));
+    asked.Pass();
+  }
+  EXPECT_EQ(ended.get_future().wait_for(std::chrono::seconds(20)), std::future_status::ready)
+      << "the time of the request is twice that";
+}
+
+// A request and its client's close are there together, as for a process that was short of time: nothing
+// begins.
+TEST(Application, ThatHadGoneWhenItsRequestWasReadIsNotServed) {
+  Upstream upstream(Upstream::Echo("u"));
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  Client before(node.port());
+  ASSERT_TRUE(before.Get("/page/k", "a0"));
+  node.Pause();
+  for (int i = 1; i <= 20; ++i) {
+    Client leaves(node.port());
+    ASSERT_TRUE(leaves.Send(GetText("/page/k", "a" + std::to_string(i))));
+  }
+  node.Signal(SIGCONT);
+  // They are ahead of this one in the listener's queue.
+  Client stays(node.port());
+  ASSERT_TRUE(stays.Get("/page/k", "b"));
+  ASSERT_TRUE(stays.Get("/page/k", "c"));
+  EXPECT_EQ(upstream.requests().size(), 3u);
+}
+
 TEST(Application, BadRequestsAreTurnedAwayAndNotPassedOn) {
   Upstream upstream(Upstream::Echo("u"));
   Node node(With(List({Target("u1", upstream.address())})));
@@ -1366,14 +1449,75 @@
   EXPECT_EQ(response->result_int(), 200U);
 }
 
-TEST(Process, AnswersUp) {
-  Node node(With(json::array()));
+// Clients come once it says yes: not before there is anybody to serve them.
+TEST(Process, SaysUpOnceThereIsAnUpstream) {
+  const auto up = [](Node& node) {
+    Client client(node.port());
+    client.Send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto response = client.Read();
+    return response ? response->result_int() : 0;
+  };
+  Upstream upstream(Upstream::Echo("u"));
+  const json list = List({Target("u1", upstream.address())});
+  Node known(With(list));
+  ASSERT_TRUE(known.Listening());
+  EXPECT_EQ(up(known), 200U) << "discovery is down";
+  Discovery discovery(json::array());
+  Node::Options options = With(json::array());
+  options.discovery = discovery.address();
+  Node node(options);
   ASSERT_TRUE(node.Listening());
-  Client client(node.port());
-  ASSERT_TRUE(client.Send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n"));
-  const auto response = client.Read();
+  ASSERT_TRUE(Eventually([&] { return discovery.calls() > 1; }));
+  EXPECT_EQ(up(node), 503U);
+  discovery.Tell(list);
+  EXPECT_TRUE(Eventually([&] { return up(node) == 200U; }));
+}
+
+TEST(Process, ASecondSignalLeavesAPlannedStopAsItIs) {
+  Gate asked, go;
+  Upstream upstream([&](Wire& wire, const Request& request, int) {
+    asked.Open();
+    go.Pass();
+    wire.Answer(200, std::string(request.target()));
+  });
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  Client held(node.port());
+  ASSERT_TRUE(held.Send(PostText("/submit/held", "h1", "x", 15000)));
+  asked.Pass();
+  for (const int signal : {SIGTERM, SIGHUP, SIGTERM}) node.Signal(signal);
+  EXPECT_TRUE(Eventually([&] { return node.log().find("configuration read again") != std::string::npos; }));
+  go.Open();
+  const auto response = held.Read();
   ASSERT_TRUE(response);
-  EXPECT_EQ(response->result_int(), 200U);
+  EXPECT_EQ(response->body(), "/submit/held");
+  EXPECT_EQ(node.Wait(), 0);
+}
+
+// What crosses the end of one is not sent on, and meets no reset: its client sees the end.
+TEST(Process, WhatCrossesTheEndOfARestingConnectionIsNotSentOn) {
+  Upstream upstream(Upstream::Echo("u"));
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  std::vector<std::unique_ptr<Client>> resting;
+  for (int i = 0; i < 20; ++i) {
+    resting.push_back(std::make_unique<Client>(node.port()));
+    ASSERT_TRUE(resting.back()->Get("/page/k", "r" + std::to_string(i)));
+  }
+  node.Signal(SIGTERM);
+  int crossed = 0;
+  for (const auto& client : resting) {
+    char byte = 0;
+    boost::system::error_code error;
+    client->wire.socket.read_some(boost::asio::buffer(&byte, 1), error);  // the end has been sent
+    EXPECT_EQ(error, boost::asio::error::eof);
+    // This is on its way as the sidecar waits for the client's end.
+    ASSERT_TRUE(client->Send(PostText("/submit/crossing", "c" + std::to_string(crossed++), "x")));
+    client->wire.socket.read_some(boost::asio::buffer(&byte, 1), error);
+    EXPECT_EQ(error, boost::asio::error::eof) << error.message();
+  }
+  EXPECT_EQ(node.Wait(), 0);
+  EXPECT_EQ(upstream.requests().size(), resting.size());
 }
 
 // The one line on standard error that a bad start leaves; checks the exit code.
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -351,6 +351,11 @@
 
 void Node::Signal(int number) { ::kill(pid_, number); }
 
+void Node::Pause() {
+  Signal(SIGSTOP);
+  ::waitpid(pid_, nullptr, WUNTRACED);
+}
+
 void Node::Reload(const std::string& config_text) {
   std::ofstream(config_path_ + ".new") << config_text;
   std::filesystem::rename(config_path_ + ".new", config_path_);
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -191,6 +191,7 @@
   unsigned Status(const std::string& method, const std::string& target);  // likewise; 0 where it says nothing
   std::uint16_t admin_port();
   void Signal(int number);
+  void Pause();                                 // SIGSTOP, and waits until it has stopped; SIGCONT goes on
   void Reload(const std::string& config_text);  // replaces the file and tells it
   json config() const { return config_; }
   int Wait();  // its exit code; 128 and the signal where it was killed
