Share a cold server's budget with those in whose subset it is not, and let those save nothing up

Counted: 300 modules with unequal traffic on one clock, told at once that all but a quarter of the list and one more are gone, 1 s after that quarter started anew: 40 calls in a second where the settings allow 21 (3.6 roots above it; 2 are chance), with the settings of S; 22 for 9 with those of seed-vault. 25 modules and one alone keep it. Each outside the subset had saved up a call at a member's pace, and all turned to the same few together; so, less, where the others die. Now a sidecar outside gives in sum half of what the members do and saves nothing up: 40 for 33, 15 for 10 at worst. At fault: HasColdBudget() in src/balancer.cpp. Test: ColdBudget.HoldsInSumOverTheFleet, five kinds of trouble, three settings, 25 and 300 modules, every window; two of twenty fail without.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -38,7 +38,8 @@
 constexpr Duration kMaxEjection = seconds(120);
 constexpr Duration kHousekeeping = milliseconds(250);  // not urgent: decisions look at the clock
 constexpr std::uint64_t kHousekeepingToken = 0;
-constexpr double kColdSafety = 0.5;  // of what would topple a cold one, going by its peers' load
+// Of what would topple a cold one by its peers' load; and of that, from all in whose subset it is not.
+constexpr double kColdSafety = 0.5, kColdOthers = 0.5;
 // Load is not sickness: where more than this share of the calls to the other upstreams fail, the run must be
 // long enough to be as rare as five in a row are here.
 constexpr double kOrdinaryFailureShare = 0.1;
@@ -58,8 +59,7 @@
 constexpr double kCrowdSlack = 0.5;     // one holding more than its share and this is passed over
 // Speeds are learnt over about kUsualMemory answers of a class or kind of machine, kSlownessMemory of an
 // upstream; its kind weighs more than its own until kKindPrior answers. kMaxSlowness bounds them.
-constexpr double kUsualMemory = 50;
-constexpr double kSlownessMemory = 10;
+constexpr double kUsualMemory = 50, kSlownessMemory = 10;
 constexpr double kKindPrior = 5, kMaxSlowness = 3;
 constexpr double kSilence = 3;         // it holds calls and has answered nothing for this many usual times
 constexpr int kFailuresToSuspect = 2;  // in a row make a suspect, that is passed over while others stand
@@ -70,9 +70,7 @@
 constexpr std::size_t kFreeRepeats = 2;  // so many attempts after a proof that nothing ran are free of it
 // Where upstreams tell their load when probed, the next ones in turn are asked before a call, as many as this
 // share of the service pays for and at most kMostAsked; the call waits for this share of a connect time-out.
-constexpr double kAskSpend = 0.01;
-constexpr double kMostAsked = 3;
-constexpr double kAskPatience = 0.1;
+constexpr double kAskSpend = 0.01, kMostAsked = 3, kAskPatience = 0.1;
 constexpr std::size_t kAsksAtRisk = 2;  // where probes are dear: the pick and one to turn to
 constexpr double kCrossingGain = 0.5;  // of a crossing's price: near ones must not fill up to the whole of it
 constexpr double kHoldFor = 0.5;       // it holds more than it serves in this share of the aim: jammed
@@ -86,13 +84,11 @@
 // An upstream under load answers the rest slowly too: a time-out tells of load only where its answers take
 // this share of their aims in the mean. Guards against refusing for one that swallows some calls.
 constexpr double kLoadedShare = 0.35;
-constexpr double kLateSample = 20, kLimitCut = 0.6;
-constexpr double kLimitGrowth = 0.05;
+constexpr double kLateSample = 20, kLimitCut = 0.6, kLimitGrowth = 0.05;
 constexpr double kLeastLimit = 0.5;  // of a call, taken by chance: in sum it still sheds
 // Near the limit the classes with less worth for their time are refused first, from this share of it on, but
 // each class keeps kClassFloor of its calls.
-constexpr double kSheddingFrom = 0.7;
-constexpr double kClassFloor = 0.4;
+constexpr double kSheddingFrom = 0.7, kClassFloor = 0.4;
 constexpr Duration kSpell = seconds(2);  // refusing is over when none was refused for this long
 constexpr double kRetrySpread = 0.1;     // of the longest Retry-After: not all come back in step
 
@@ -144,6 +140,7 @@
     std::vector<UpstreamPtr> entering;
     for (const UpstreamInfo& info : update.upstreams) Adopt(info, entering);
     Order();
+    MarkOwn();
     // With the whole list known: a turn drawn from the sum so far would put the first ones of the list first
     // at every sidecar, and a fleet of them would send their first calls to the same few.
     const double turn = Turn();
@@ -202,6 +199,7 @@
     std::vector<UpstreamPtr> entering;
     Adopt(info, entering);
     Order();
+    MarkOwn();
     for (const UpstreamPtr& u : entering) u->credit = -Uniform() * Turn();
   }
 
@@ -231,12 +229,6 @@
     }
   }
 
-  double PeersFailureShare(const Upstream& u) const {
-    const double calls = all_calls_ - (u.ejected ? 0 : u.calls);
-    const double failures = all_failures_ - (u.ejected ? 0 : u.failures);
-    return calls < 1 ? 0 : std::clamp(failures / calls, 0.0, 0.95);
-  }
-
   double FailureShare(const Upstream& u) const {
     return u.failures / std::max(u.calls, static_cast<double>(kFailuresToEject));
   }
@@ -855,13 +847,30 @@
     // Of the subset's weight: the rest of the list gets nothing from this sidecar, only from others.
     const double usual = std::max(usual_served_, usual_rate_ / 2) * u.info.weight /
                          std::max(usual_weight_ * SubsetShare(), u.info.weight);
-    const double rate = settings_.rules.fall_multiple * kColdSafety * warmth * usual;
-    const double most = std::max(1.0, rate * Seconds(settings_.rules.fall_window) / 2);
-    u.cold_budget = std::min(most, u.cold_budget + rate * Seconds(now_ - u.cold_refilled));
+    double rate = settings_.rules.fall_multiple * kColdSafety * warmth * usual;
+    const double window = Seconds(settings_.rules.fall_window);
+    double since = Seconds(now_ - u.cold_refilled);
+    // Those beyond the subset save nothing up: when its members go, all sidecars turn to the same few at
+    // once.
+    if (!u.own) rate *= SubsetShare() * kColdOthers;
+    if (!u.own && since > window / 2) u.cold_budget = Uniform(), since = window / 2;
+    const double most = std::max(1.0, rate * window / 2);
+    u.cold_budget = std::min(most, u.cold_budget + rate * since);
     u.cold_refilled = now_;
     return u.cold_budget >= 1;
   }
 
+  // By rank alone, whoever may take a call just now: what a sidecar owes a cold one is not to change with
+  // that.
+  void MarkOwn() {
+    double room = SubsetSize();
+    for (const UpstreamPtr& u : order_) {
+      if (u->info.state != UpstreamState::kServing) continue;
+      if (!std::exchange(u->own, room > 0) && u->own) u->cold_budget = Uniform(), u->cold_refilled = now_;
+      room -= Warmth(*u);
+    }
+  }
+
   // The usual rate and weight change slowly: a burst or the loss of half the list must not raise the budgets.
   void UpdateUsual() {
     const double dt = Seconds(kHousekeeping);
@@ -891,6 +900,7 @@
   void Housekeeping() {
     Emit(SetTimer{now_ + kHousekeeping, kHousekeepingToken});
     UpdateUsual();
+    MarkOwn();
     UpdateLimit();
     trusted_idle_ = std::min(Scaled(trusted_idle_, kTrustGrowth), settings_.limits.idle_close);
     if (refusing_ && now_ - refused_at_ > kSpell) refusing_ = false, Say("taking calls again");
@@ -901,11 +911,6 @@
     }
   }
 
-  void Forget(RequestId id) {
-    const Request* r = Find(id);
-    if (r != nullptr && r->ended && !AnyOut(*r)) requests_.erase(id);
-  }
-
   // Raw engine output: the standard's distributions differ between libraries.
   double Uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
 
--- a/src/state.h
+++ b/src/state.h
@@ -105,6 +105,7 @@
   // Rotation.
   double credit = 0;
   int outstanding = 0;
+  bool own = true;  // in this sidecar's subset
   // Slow start: calls it may still be sent, refilled over time.
   double cold_budget = 0;
   TimePoint cold_refilled;
@@ -200,6 +201,17 @@
     return sum;
   }
 
+  void Forget(RequestId id) {
+    const Request* r = Find(id);
+    if (r != nullptr && r->ended && !AnyOut(*r)) requests_.erase(id);
+  }
+
+  double PeersFailureShare(const Upstream& u) const {
+    const double calls = all_calls_ - (u.ejected ? 0 : u.calls);
+    const double failures = all_failures_ - (u.ejected ? 0 : u.failures);
+    return calls < 1 ? 0 : std::clamp(failures / calls, 0.0, 0.95);
+  }
+
   // While a body still comes, or its answer is the client's already, its upstream is not what takes the time.
   void Hold(Attempt& a) {
     a.counted = true;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,7 +1,11 @@
 // Many sidecars with a trickle of calls each: what they do in sum, and what one can know from so few calls.
 #include <algorithm>
+#include <cmath>
 #include <memory>
+#include <ostream>
+#include <random>
 #include <set>
+#include <tuple>
 
 #include "helpers.h"
 
@@ -276,6 +280,216 @@
   EXPECT_LT(share, 0.31 * 2.5) << "the rule on fail-back";
 }
 
+// Many sidecars with unequal traffic on one clock, and upstreams that answer, are dead or hang.
+class ColdFleet {
+ public:
+  ColdFleet(std::size_t sidecars, std::size_t upstreams, double rate, Settings settings, std::uint64_t seed)
+      : settings_(std::move(settings)), random_(seed) {
+    settings_.balancers = sidecars;
+    for (std::size_t i = 0; i < upstreams; ++i) list.push_back(Up("s" + std::to_string(i)));
+    double sum = 0;
+    for (std::size_t i = 0; i < sidecars; ++i) {
+      sidecars_.push_back(
+          {std::exp(2.5 * Uniform()) / (0.1 + Uniform()), nullptr, 0, {}});  // some see far more
+      sum += sidecars_.back().rate;
+    }
+    for (Sidecar& s : sidecars_) s.rate *= rate / sum;
+  }
+
+  // All at this moment: start from nothing, or hear of the list.
+  void StartAll() {
+    for (std::size_t i = 0; i < sidecars_.size(); ++i) {
+      Sidecar& s = sidecars_[i];
+      settings_.self = i;
+      s = {s.rate, std::make_unique<World>(settings_, random_()), 0, {}};
+      s.world->now = now;
+      s.world->Do(MembershipUpdate{MembershipUpdate::Kind::kRestored, list});
+    }
+    TellAll();
+  }
+  void TellAll() {
+    for (const Sidecar& s : sidecars_) s.world->Full(list);
+  }
+  // So many of the list start anew.
+  void MakeCold(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) list[i].started = now, cold.insert(list[i].id.value);
+    cold_since = now;
+  }
+
+  void Run(Duration time) {
+    for (const TimePoint end = now + time; now < end;) {
+      now += kStep;
+      for (Sidecar& s : sidecars_) Step(s);
+    }
+  }
+
+  std::vector<UpstreamInfo> list;
+  std::set<std::string> cold, dead, hung;
+  TimePoint now{1000s}, cold_since;
+  double burst = 1;
+  std::map<std::string, std::vector<TimePoint>> calls;  // by upstream: every attempt
+
+ private:
+  static constexpr Duration kStep = 5ms;
+  struct Sidecar {
+    double rate;  // calls a second
+    std::unique_ptr<World> world;
+    std::size_t seen;                             // of its attempts
+    std::vector<std::pair<TimePoint, Sent>> out;  // and when they end
+  };
+
+  double Uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+
+  Outcome EndOf(const Sent& attempt) const {
+    if (dead.contains(attempt.upstream)) return Outcome::kConnectFailed;
+    return hung.contains(attempt.upstream) ? Outcome::kTimeout : Outcome::kServed;
+  }
+
+  void Note(Sidecar& s) {
+    for (; s.seen < s.world->sent.size(); ++s.seen) {
+      const Sent& attempt = s.world->sent[s.seen];
+      calls[attempt.upstream].push_back(now);
+      const Outcome end = EndOf(attempt);
+      const Duration served = 20ms + std::chrono::milliseconds(static_cast<int>(80 * Uniform()));
+      s.out.emplace_back(now + (end == Outcome::kServed    ? served
+                                : end == Outcome::kTimeout ? attempt.timeout
+                                                           : Duration(1ms)),
+                         attempt);
+    }
+  }
+
+  void Step(Sidecar& s) {
+    s.world->Advance(now - s.world->now);
+    Note(s);
+    const double arriving = s.rate * burst * std::chrono::duration<double>(kStep).count();
+    for (double left = arriving; Uniform() < left; left -= 1) s.world->Arrive(kSafe), Note(s);
+    for (std::size_t i = 0; i < s.out.size();) {
+      if (s.out[i].first > now) {
+        ++i;
+        continue;
+      }
+      const Sent attempt = s.out[i].second;
+      s.out.erase(s.out.begin() + static_cast<std::ptrdiff_t>(i));
+      s.world->Finish(attempt, EndOf(attempt));
+      Note(s);
+    }
+  }
+
+  Settings settings_;
+  std::mt19937_64 random_;
+  std::vector<Sidecar> sidecars_;
+};
+
+struct ColdCase {
+  const char* name;
+  void (*play)(ColdFleet& fleet, Duration cold_time);
+};
+
+std::ostream& operator<<(std::ostream& out, const ColdCase& what) { return out << what.name; }
+
+const ColdCase kColdCases[] = {
+    {"AllStartTogether",
+     [](ColdFleet& f, Duration cold_time) {
+       f.MakeCold(f.list.size() / 4);
+       f.StartAll();
+       f.Run(cold_time);
+     }},
+    {"MostAreReplacedInABurst",
+     [](ColdFleet& f, Duration cold_time) {
+       f.StartAll();
+       f.Run(12s);
+       f.MakeCold(f.list.size() * 6 / 10);
+       f.TellAll();
+       f.burst = 1.5;
+       f.Run(cold_time);
+     }},
+    {"TheOthersAreGoneAfterAWhile",
+     [](ColdFleet& f, Duration cold_time) {
+       f.StartAll();
+       f.Run(12s);
+       f.MakeCold(f.list.size() / 4);
+       f.TellAll();
+       f.Run(1s);
+       f.list.resize(f.list.size() / 4 + 1);
+       f.TellAll();
+       f.Run(cold_time);
+     }},
+    {"TheOthersDieAndAllStartAnew",  // failures, repeats and trials turn to the cold ones
+     [](ColdFleet& f, Duration cold_time) {
+       f.StartAll();
+       f.Run(12s);
+       f.MakeCold(f.list.size() / 4);
+       f.StartAll();
+       f.Run(1s);
+       for (std::size_t i = f.list.size() / 4; i < f.list.size(); ++i) {
+         (i % 2 == 0 ? f.dead : f.hung).insert(f.list[i].id.value);
+       }
+       f.Run(cold_time);
+     }},
+    {"TheyHangAndAreWellAgain",  // ejected, tried and returned together
+     [](ColdFleet& f, Duration cold_time) {
+       f.StartAll();
+       f.Run(12s);
+       f.MakeCold(f.list.size() / 4);
+       f.TellAll();
+       f.hung = f.cold;
+       f.Run(cold_time / 3);
+       f.hung.clear();
+       f.Run(cold_time);
+     }},
+};
+
+class ColdBudget : public ::testing::TestWithParam<std::tuple<ColdCase, int, std::uint64_t>> {};
+
+// The budget of a cold upstream is one for all sidecars, which share nothing: beyond it only what chance
+// does.
+TEST_P(ColdBudget, HoldsInSumOverTheFleet) {
+  const auto& [what, sidecars, seed] = GetParam();
+  struct Deployment {
+    double multiple, from;
+    Duration window, cold_time;
+  };
+  for (const Deployment& d : {Deployment{2.5, 0.31, 1s, 7400ms}, Deployment{1.8, 0.2, 700ms, 9s},
+                              Deployment{4, 0.32, 2s, 8900ms}}) {
+    Settings settings = DefaultSettings();
+    settings.rules.fall_multiple = d.multiple;
+    settings.rules.cold_from = d.from;
+    settings.rules.fall_window = d.window;
+    settings.rules.cold_time = d.cold_time;
+    const std::size_t upstreams = sidecars < 100 ? 12 : 60;
+    constexpr double kCapacity = 20, kLoad = 0.7;  // of a warm one, calls a second
+    ColdFleet fleet(static_cast<std::size_t>(sidecars), upstreams, upstreams * kCapacity * kLoad, settings,
+                    seed);
+    what.play(fleet, d.cold_time);
+    const auto seconds = [](Duration t) { return std::chrono::duration<double>(t).count(); };
+    std::size_t all = 0;
+    for (const std::string& id : fleet.cold) {
+      const std::vector<TimePoint>& calls = fleet.calls[id];
+      all += calls.size();
+      for (std::size_t first = 0, end = 0; first < calls.size(); ++first) {
+        if (calls[first] < fleet.cold_since) continue;
+        if (calls[first] + d.window >= fleet.cold_since + d.cold_time) break;
+        while (end < calls.size() && calls[end] < calls[first] + d.window) ++end;
+        const double warmth =
+            d.from + (1 - d.from) * seconds(calls[first] - fleet.cold_since) / seconds(d.cold_time);
+        const double budget = d.multiple * warmth * kCapacity * seconds(d.window);
+        EXPECT_LE(static_cast<double>(end - first), budget + 2 * std::sqrt(budget) + 2)
+            << id << ", budget " << budget << ", after " << seconds(calls[first] - fleet.cold_since) << " s";
+      }
+    }
+    EXPECT_GT(all, fleet.cold.size()) << "they are used";
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleet, ColdBudget,
+                         ::testing::Combine(::testing::ValuesIn(kColdCases), ::testing::Values(25, 300),
+                                            ::testing::Values(1u, 2u)),
+                         [](const auto& info) {
+                           return std::string(std::get<0>(info.param).name) + "_" +
+                                  std::to_string(std::get<1>(info.param)) + "_seed" +
+                                  std::to_string(std::get<2>(info.param));
+                         });
+
 // A client repeats what was refused or came to nothing: where many answers are late, an aim or more ago.
 TEST(RefusedCalls, RepeatsAreRefusedAtOnceWhileManyAreLate) {
   World w;
