--- a/sim/wire.cpp
+++ b/sim/wire.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <type_traits>
 #include <utility>
 
 namespace kestrellb::wire {
@@ -16,11 +17,16 @@
   return *it;
 }
 
-// The value of a field that must be there and have the right type.
+// The value of a field that must be there and have the right type. A count is no number below zero, nor a
+// part of one: the library would cut it to some other.
 template <typename T>
 T Get(const json& object, const char* name) {
   try {
-    return Field(object, name).get<T>();
+    const json& field = Field(object, name);
+    if (std::is_unsigned_v<T> && field.is_number() && !field.is_number_unsigned()) {
+      throw Error(std::string("bad value in field ") + name);
+    }
+    return field.get<T>();
   } catch (const json::exception&) {
     throw Error(std::string("bad value in field ") + name);
   }
@@ -211,7 +217,10 @@
   Read(params, "Zone", s.zone);
   Read(params, "PeersTotal", s.balancers);
   Read(params, "Me", s.self);
-  s.membership_on_request = Maybe<std::string>(params, "MembershipMode") == "on_request";
+  static const std::map<std::string, bool> modes = {{"pushed", false}, {"on_request", true}};
+  if (Maybe<std::string>(params, "MembershipMode")) {
+    s.membership_on_request = Word(params, "MembershipMode", modes);
+  }
   s.load_by_probe = Maybe<std::string>(Part(params, "Report"), "How") == "probe";
   s.live_weights = Maybe<std::string>(params, "Weights") == "live";
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,6 +1,10 @@
 // Settings that make no sense are turned away before a balancer acts on them.
+#include <chrono>
+#include <set>
 #include <stdexcept>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "kestrellb/balancer.h"
 
@@ -11,14 +15,31 @@
   if (!sound) throw std::invalid_argument(std::string("kestrellb: bad setting ") + setting);
 }
 
+// Longer is a slip of units, and too long to be added to a time.
+constexpr Duration kLongest = std::chrono::hours(24);
+
+bool Positive(Duration d) { return d > Duration::zero() && d <= kLongest; }
+
+// By its name alone a request finds its class, or its tenant.
+template <typename T>
+bool NamesDiffer(const std::vector<T>& items) {
+  std::set<std::string> names;
+  for (const T& item : items) {
+    if (item.name.empty() || !names.insert(item.name).second) return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 void Settings::Validate() const {
   Require(!classes.empty(), "classes");
+  Require(NamesDiffer(classes), "classes.name");
+  Require(NamesDiffer(tenants), "tenants.name");
   for (const RequestClass& c : classes) {
-    Require(c.aim > Duration::zero(), "classes.aim");
-    Require(c.deadline > Duration::zero(), "classes.deadline");
-    Require(c.effect != Effect::kKeyed || c.key_window > Duration::zero(), "classes.key_window");
+    Require(Positive(c.aim), "classes.aim");
+    Require(Positive(c.deadline), "classes.deadline");
+    Require(c.effect != Effect::kKeyed || Positive(c.key_window), "classes.key_window");
     Require(c.worth >= 0, "classes.worth");
     Require(c.late_worth >= 0 && c.late_worth <= 1, "classes.late_worth");
     Require(c.aim_stretch >= 0, "classes.aim_stretch");
@@ -26,16 +47,22 @@
   for (const Tenant& t : tenants) Require(t.share >= 0 && t.quota_per_s >= 0, "tenants");
   Require(balancers > 0, "balancers");
   Require(limits.max_attempts > 0, "limits.max_attempts");
-  Require(limits.connect_timeout > Duration::zero(), "limits.connect_timeout");
-  Require(limits.idle_close > Duration::zero(), "limits.idle_close");
-  Require(limits.max_retry_after >= Duration::zero(), "limits.max_retry_after");
-  Require(rules.answer_grace >= Duration::zero(), "rules.answer_grace");
-  Require(rules.drain_grace >= Duration::zero(), "rules.drain_grace");
-  Require(rules.ask_within > Duration::zero(), "rules.ask_within");
+  Require(Positive(limits.connect_timeout), "limits.connect_timeout");
+  Require(Positive(limits.idle_close), "limits.idle_close");
+  for (const auto& [time, name] : {std::pair(limits.max_retry_after, "limits.max_retry_after"),
+                                   std::pair(rules.answer_grace, "rules.answer_grace"),
+                                   std::pair(rules.drain_grace, "rules.drain_grace")}) {
+    Require(time >= Duration::zero() && time <= kLongest, name);
+  }
+  for (const double price :
+       {prices.cross_zone, prices.handshake, prices.probe, prices.waste, prices.late_fail}) {
+    Require(price >= 0, "prices");
+  }
+  Require(Positive(rules.ask_within), "rules.ask_within");
   Require(rules.cold_from > 0 && rules.cold_from <= 1, "rules.cold_from");
-  Require(rules.cold_time > Duration::zero(), "rules.cold_time");
+  Require(Positive(rules.cold_time), "rules.cold_time");
   Require(rules.fall_multiple > 0, "rules.fall_multiple");
-  Require(rules.fall_window > Duration::zero(), "rules.fall_window");
+  Require(Positive(rules.fall_window), "rules.fall_window");
 }
 
 }  // namespace kestrellb
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -418,6 +418,14 @@
   EXPECT_TRUE(named([](Settings& s) { s.rules.cold_time = 0ms; }, "cold_time"));
   EXPECT_TRUE(named([](Settings& s) { s.rules.fall_window = 0ms; }, "fall_window"));
   EXPECT_TRUE(named([](Settings& s) { s.rules.fall_multiple = 0; }, "fall_multiple"));
+  EXPECT_TRUE(named([](Settings& s) { s.classes[1].name = s.classes[0].name; }, "classes.name"));
+  EXPECT_TRUE(named([](Settings& s) { s.classes[1].name = ""; }, "classes.name"));
+  EXPECT_TRUE(named([](Settings& s) { s.tenants = {{"a"}, {"b"}, {"a"}}; }, "tenants.name"));
+  EXPECT_TRUE(named([](Settings& s) { s.classes[0].deadline = Duration::max(); }, "deadline"));
+  EXPECT_TRUE(named([](Settings& s) { s.classes[2].key_window = Duration::max(); }, "key_window"));
+  EXPECT_TRUE(named([](Settings& s) { s.rules.drain_grace = Duration::max(); }, "drain_grace"));
+  EXPECT_TRUE(named([](Settings& s) { s.limits.max_retry_after = -1ms; }, "max_retry_after"));
+  EXPECT_TRUE(named([](Settings& s) { s.prices.waste = -0.1; }, "prices"));
 }
 
 TEST(Determinism, SameEventsSameActions) {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1353,7 +1353,10 @@
   ASSERT_TRUE(BecomesServedBy(node, "a /page/k"));
   json known = node.config();
   known["known"] = {{"no", "list"}};
-  for (const auto& text : {std::string("{"), FollowingTo(node, "nowhere"), known.dump()}) {
+  json settings = node.config();
+  settings["settings"]["Classes"][0]["Aim"] = -1;
+  for (const auto& text :
+       {std::string("{"), FollowingTo(node, "nowhere"), known.dump(), settings.dump(), std::string()}) {
     const auto faults = [&node] {
       const std::string log = node.log();
       int count = 0;
@@ -1562,8 +1565,32 @@
   json settings = Settings();
   settings["Limits"]["MaxAttempts"] = 0;
   EXPECT_TRUE(has(BadStart(With(nullptr, settings)), "max_attempts"));
-  settings["Limits"]["MaxAttempts"] = "three";
-  EXPECT_TRUE(has(BadStart(With(nullptr, settings)), "MaxAttempts"));
+  for (const json& odd : {json("three"), json(-1), json(1.5)}) {
+    settings["Limits"]["MaxAttempts"] = odd;
+    EXPECT_TRUE(has(BadStart(With(nullptr, settings)), "MaxAttempts")) << odd;
+  }
+  settings = Settings();
+  settings["MembershipMode"] = "carrier pigeon";
+  EXPECT_TRUE(has(BadStart(With(nullptr, settings)), "MembershipMode"));
+  settings = Settings();
+  settings["Classes"][1]["Name"] = settings["Classes"][0]["Name"];
+  EXPECT_TRUE(has(BadStart(With(nullptr, settings)), "classes.name"));
+  settings = Settings();
+  settings["Classes"][0]["HardLimit"] = 9000000000000000000;
+  EXPECT_TRUE(has(BadStart(With(nullptr, settings)), "classes.deadline"));
+}
+
+// What a deployment does not say: nothing is assumed of zones, rules, prices, reports, tenants or the keys'
+// scope.
+TEST(Process, ServesWithNoMoreThanClasses) {
+  Upstream upstream(Upstream::Echo("u"));
+  const json cls = {{"Name", "only"}, {"Effect", "read_like"}, {"Aim", 400000}, {"HardLimit", 2000000}};
+  Node node(With(List({Target("u1", upstream.address())}), {{"Classes", {cls}}}));
+  ASSERT_TRUE(node.Listening());
+  Client client(node.port());
+  const auto answer = client.Get("/only/k", "a1", 2000);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->result_int(), 200U);
 }
 
 TEST(Process, TakenAddressIsNamed) {
