Give no more of a cold server's budget to a sidecar whose subset it leaves and enters again

Read: entering the subset drew the budget anew, also from less to more, right after a call. It only falls now. Passed before and after: ColdBudget.HoldsInSumOverTheFleet.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -64,8 +64,7 @@
 constexpr double kSilence = 3;         // it holds calls and has answered nothing for this many usual times
 constexpr int kFailuresToSuspect = 2;  // in a row make a suspect, that is passed over while others stand
 constexpr double kLate = 3;  // a call that takes so many usual times gets a second copy, where it may
-// Further attempts after a failure and second copies are at most this share of first tries, saved up to a
-// burst.
+// Further attempts and second copies are at most this share of first tries, saved up to a burst.
 constexpr double kRetryBudget = 0.3, kRetryBurst = 10;
 constexpr std::size_t kFreeRepeats = 2;  // so many attempts after a proof that nothing ran are free of it
 // Where upstreams tell their load when probed, the next ones in turn are asked before a call, as many as this
@@ -866,7 +865,8 @@
     double room = SubsetSize();
     for (const UpstreamPtr& u : order_) {
       if (u->info.state != UpstreamState::kServing) continue;
-      if (!std::exchange(u->own, room > 0) && u->own) u->cold_budget = Uniform(), u->cold_refilled = now_;
+      const bool enters = !std::exchange(u->own, room > 0) && u->own;
+      if (enters) u->cold_budget = std::min(u->cold_budget, Uniform()), u->cold_refilled = now_;
       room -= Warmth(*u);
     }
   }
