--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -38,8 +38,7 @@
 constexpr Duration kMaxEjection = seconds(120);
 constexpr Duration kHousekeeping = milliseconds(250);  // not urgent: decisions look at the clock
 constexpr std::uint64_t kHousekeepingToken = 0;
-// Of what would topple a cold one by its peers' load; and of that, from all in whose subset it is not.
-constexpr double kColdSafety = 0.5, kColdOthers = 0.5;
+constexpr double kColdSafety = 0.5;  // of what would topple a cold one, going by its peers' load
 // Load is not sickness: where more than this share of the calls to the other upstreams fail, the run must be
 // long enough to be as rare as five in a row are here.
 constexpr double kOrdinaryFailureShare = 0.1;
@@ -139,7 +138,6 @@
     std::vector<UpstreamPtr> entering;
     for (const UpstreamInfo& info : update.upstreams) Adopt(info, entering);
     Order();
-    MarkOwn();
     // With the whole list known: a turn drawn from the sum so far would put the first ones of the list first
     // at every sidecar, and a fleet of them would send their first calls to the same few.
     const double turn = Turn();
@@ -198,7 +196,6 @@
     std::vector<UpstreamPtr> entering;
     Adopt(info, entering);
     Order();
-    MarkOwn();
     for (const UpstreamPtr& u : entering) u->credit = -Uniform() * Turn();
   }
 
@@ -846,31 +843,13 @@
     // Of the subset's weight: the rest of the list gets nothing from this sidecar, only from others.
     const double usual = std::max(usual_served_, usual_rate_ / 2) * u.info.weight /
                          std::max(usual_weight_ * SubsetShare(), u.info.weight);
-    double rate = settings_.rules.fall_multiple * kColdSafety * warmth * usual;
-    const double window = Seconds(settings_.rules.fall_window);
-    double since = Seconds(now_ - u.cold_refilled);
-    // Those beyond the subset save nothing up: when its members go, all sidecars turn to the same few at
-    // once.
-    if (!u.own) rate *= SubsetShare() * kColdOthers;
-    if (!u.own && since > window / 2) u.cold_budget = Uniform(), since = window / 2;
-    const double most = std::max(1.0, rate * window / 2);
-    u.cold_budget = std::min(most, u.cold_budget + rate * since);
+    const double rate = settings_.rules.fall_multiple * kColdSafety * warmth * usual;
+    const double most = std::max(1.0, rate * Seconds(settings_.rules.fall_window) / 2);
+    u.cold_budget = std::min(most, u.cold_budget + rate * Seconds(now_ - u.cold_refilled));
     u.cold_refilled = now_;
     return u.cold_budget >= 1;
   }
 
-  // By rank alone, whoever may take a call just now: what a sidecar owes a cold one is not to change with
-  // that.
-  void MarkOwn() {
-    double room = SubsetSize();
-    for (const UpstreamPtr& u : order_) {
-      if (u->info.state != UpstreamState::kServing) continue;
-      const bool enters = !std::exchange(u->own, room > 0) && u->own;
-      if (enters) u->cold_budget = std::min(u->cold_budget, Uniform()), u->cold_refilled = now_;
-      room -= Warmth(*u);
-    }
-  }
-
   // The usual rate and weight change slowly: a burst or the loss of half the list must not raise the budgets.
   void UpdateUsual() {
     const double dt = Seconds(kHousekeeping);
@@ -900,7 +879,6 @@
   void Housekeeping() {
     Emit(SetTimer{now_ + kHousekeeping, kHousekeepingToken});
     UpdateUsual();
-    MarkOwn();
     UpdateLimit();
     trusted_idle_ = std::min(Scaled(trusted_idle_, kTrustGrowth), settings_.limits.idle_close);
     if (refusing_ && now_ - refused_at_ > kSpell) refusing_ = false, Say("taking calls again");
--- a/src/state.h
+++ b/src/state.h
@@ -105,7 +105,6 @@
   // Rotation.
   double credit = 0;
   int outstanding = 0;
-  bool own = true;  // in this sidecar's subset
   // Slow start: calls it may still be sent, refilled over time.
   double cold_budget = 0;
   TimePoint cold_refilled;
