--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -307,6 +307,11 @@
     }
     TellAll();
   }
+  // Until each knows its rate and what is usual.
+  void StartAndSettle() {
+    StartAll();
+    Run(12s);
+  }
   void TellAll() {
     for (const Sidecar& s : sidecars_) s.world->Full(list);
   }
@@ -396,8 +401,7 @@
      }},
     {"MostAreReplacedInABurst",
      [](ColdFleet& f, Duration cold_time) {
-       f.StartAll();
-       f.Run(12s);
+       f.StartAndSettle();
        f.MakeCold(f.list.size() * 6 / 10);
        f.TellAll();
        f.burst = 1.5;
@@ -405,8 +409,7 @@
      }},
     {"TheOthersAreGoneAfterAWhile",
      [](ColdFleet& f, Duration cold_time) {
-       f.StartAll();
-       f.Run(12s);
+       f.StartAndSettle();
        f.MakeCold(f.list.size() / 4);
        f.TellAll();
        f.Run(1s);
@@ -416,8 +419,7 @@
      }},
     {"TheOthersDieAndAllStartAnew",  // failures, repeats and trials turn to the cold ones
      [](ColdFleet& f, Duration cold_time) {
-       f.StartAll();
-       f.Run(12s);
+       f.StartAndSettle();
        f.MakeCold(f.list.size() / 4);
        f.StartAll();
        f.Run(1s);
@@ -428,8 +430,7 @@
      }},
     {"TheyHangAndAreWellAgain",  // ejected, tried and returned together
      [](ColdFleet& f, Duration cold_time) {
-       f.StartAll();
-       f.Run(12s);
+       f.StartAndSettle();
        f.MakeCold(f.list.size() / 4);
        f.TellAll();
        f.hung = f.cold;
