--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -453,9 +453,11 @@
 
   Duration Timeout(const Request& r) const {
     const Duration left = r.deadline - (r.open ? r.arrived : now_);
-    // What may be repeated is given up at its aim: another upstream may have time for it, or it is worth
-    // nothing. Where late answers have a worth, a second copy does that without losing the first.
-    if (r.cls->late_worth > 0 && settings_.limits.second_copies) return left;
+    // Where a late answer has a worth it is waited for: given up at its aim, all the work on it would be lost
+    // and begun anew, and in an overload that is most of what the upstreams do.
+    if (r.cls->late_worth > 0) return left;
+    // What else may be repeated is given up at its aim: another upstream may have time for it, or it is worth
+    // nothing.
     const TimePoint aim = r.arrived + r.cls->aim;
     // Under overload also what may not be repeated: kept past its aim it is worth nothing and holds up the
     // rest.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -674,6 +674,21 @@
   EXPECT_EQ(w.sent.back().timeout, Duration(400ms));
 }
 
+// Cancelled at its aim and begun anew, a call that is worth something late would load upstreams twice.
+TEST(LateAnswers, AreWaitedForWhereTheyHaveAWorthWithAndWithoutSecondCopies) {
+  for (const bool second_copies : {false, true}) {
+    Settings settings = DefaultSettings();
+    settings.limits.second_copies = second_copies;
+    settings.classes[static_cast<std::size_t>(kSafe)].late_worth = 0.25;
+    World w(settings);
+    w.List(4);
+    w.Arrive(kSafe);
+    EXPECT_EQ(w.sent.back().timeout, Duration(2s)) << "until its client gives up";
+    w.Arrive(kKeyedAll);
+    EXPECT_EQ(w.sent.back().timeout, Duration(400ms)) << "its aim: nothing is due for it later";
+  }
+}
+
 TEST(SlowHandshakes, CallsKeepToConnectionsWhileConnectingFails) {
   World w;
   w.List(6);
