Choose subsets along one ring, and no larger than the upstreams' connections bear

Cause: each of some hundred sidecars called the whole list for its first 2 s, and later as many upstreams as its rate allowed, drawn by hash. Now the subsets are stretches of one ring that begin at the sidecar's number (deterministic aperture), at most what 15 connections an upstream allow or what keeps two calls at each member, from the first call on; small fleets call the whole list as before. Tests: Aperture, all three failed without.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -47,9 +47,12 @@
 // this, the next ones at twice the time after each that fails; it is back after so many served in a row.
 constexpr Duration kFirstTrial = milliseconds(1000), kMaxTrial = milliseconds(8000);
 constexpr int kTrialsToReturn = 2;
-// Subsetting: over kLeastSubset upstreams at least, and over all until its rate has been seen for kRateKnown.
+// Subsetting: over kLeastSubset upstreams at least, by the rate of calls once that has been seen for
+// kRateKnown. Beyond kFairConnections at each upstream, were all sidecars alike, a subset only grows where
+// its members hold kBusyMember calls of this sidecar in the mean.
 constexpr double kLeastSubset = 3;
 constexpr Duration kRateKnown = seconds(2);
+constexpr double kFairConnections = 15, kBusyMember = 2;
 // How long an idle connection is trusted: half the age at which one was found dropped, at least kLeastTrust,
 // growing by this factor each housekeeping (twice in some ten seconds).
 constexpr Duration kLeastTrust = milliseconds(100);
@@ -96,6 +99,8 @@
  public:
   Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
     settings_.Validate();
+    ring_place_ =
+        static_cast<double>(settings_.self % settings_.balancers) / static_cast<double>(settings_.balancers);
     ask_pause_ = LongestAskPause() / 2;
     trusted_idle_ = settings_.limits.idle_close;
     retry_budget_ = kRetryBurst;
@@ -151,10 +156,15 @@
 
   // As many as it sends the calls that eject one while what the first tells still counts. Guards against a
   // trickle spread so thin that no upstream is met twice: every call would need a new connection and tell
-  // nothing of the next. Where calls are many it is the list.
+  // nothing of the next. Where calls are many it is the list; but where the fleet is so large that the
+  // connections of all would fill the upstreams' tables, it is as many as this one keeps busy.
   double SubsetSize() const {
-    if (now_ - started_ < kRateKnown || usual_rate_ <= 0) return static_cast<double>(order_.size());
-    return std::max(kLeastSubset, usual_rate_ * Seconds(LateMemory()) / kFailuresToEject);
+    const auto all = static_cast<double>(order_.size());
+    const double fair = kFairConnections * all / static_cast<double>(settings_.balancers);
+    if (now_ - started_ < kRateKnown || usual_rate_ <= 0) return std::max(kLeastSubset, std::min(all, fair));
+    const double watched = usual_rate_ * Seconds(LateMemory()) / kFailuresToEject;
+    const double busy = usual_held_ * able_weight_ / kBusyMember;
+    return std::max(kLeastSubset, std::min(watched, std::max(fair, busy)));
   }
 
   double SubsetShare() const { return std::min(1.0, SubsetSize() / std::max<double>(1, order_.size())); }
@@ -167,7 +177,7 @@
     if (new_process) {
       if (u) u->info.state = UpstreamState::kGone;
       u = std::make_shared<Upstream>();
-      u->rank = Hash(info.id.value, settings_.self);
+      u->rank = Hash(info.id.value, 0);
       u->cold_budget = Uniform();  // sidecars that hear of it together: some call now, some a call later
       u->cold_refilled = now_;
     }
--- a/src/state.h
+++ b/src/state.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -74,7 +75,7 @@
 // of calls to the earlier process say nothing of it.
 struct Upstream {
   UpstreamInfo info;
-  std::uint64_t rank = 0;                        // its place in this sidecar's order
+  std::uint64_t rank = 0;                        // its place on the ring of all sidecars
   bool listed = true;                            // in the list that is being taken in
   UpstreamState told = UpstreamState::kServing;  // by the list; `info` has what counts
   std::optional<TimePoint> put_back;             // by the operators, perhaps as a new process
@@ -177,8 +178,10 @@
     return it == requests_.end() ? nullptr : &it->second;
   }
 
-  // The order in which upstreams are taken into the subset: rendezvous hashing, so that the sidecars' subsets
-  // spread evenly and a change of the list changes nobody else's place. Those gone are dropped.
+  // Deterministic subsetting (aperture): all sidecars place the upstreams on one ring, in the same order, and
+  // the subset of each is the stretch of it that begins at its own place. The places are spread evenly by the
+  // sidecars' numbers, so that each upstream is in about as many subsets. A change of the list moves a subset
+  // by one upstream at most. Those gone are dropped.
   void Order() {
     std::erase_if(index_, [](const auto& entry) {
       UpstreamState& state = entry.second->info.state;
@@ -190,6 +193,8 @@
     std::sort(order_.begin(), order_.end(), [](const UpstreamPtr& a, const UpstreamPtr& b) {
       return std::tie(a->rank, a->info.id) < std::tie(b->rank, b->info.id);
     });
+    const auto first = static_cast<std::ptrdiff_t>(ring_place_ * static_cast<double>(order_.size()));
+    std::rotate(order_.begin(), order_.begin() + first, order_.end());
   }
 
   double ListedWeight() const {
@@ -228,7 +233,8 @@
   bool running_ = false;
   TimePoint started_;
   std::unordered_map<std::string, UpstreamPtr> index_;   // those that are not gone; walked only to sort them
-  std::vector<UpstreamPtr> order_;                       // the same, by rank
+  std::vector<UpstreamPtr> order_;                       // the same, along the ring from this sidecar's place
+  double ring_place_ = 0;                                // of this sidecar, from 0 up to 1
   std::unordered_map<std::string, Word> words_;          // looked up, never walked
   std::unordered_map<RequestId, Request> requests_;      // looked up, never walked
   std::unordered_map<std::uint64_t, RequestId> timers_;  // looked up, never walked
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -101,6 +101,64 @@
   EXPECT_EQ(w.Spread(200).size(), 20u);
 }
 
+// Subsets drawn by chance would give some upstreams twice the connections of others.
+TEST(Aperture, EachUpstreamIsInAboutAsManySubsets) {
+  constexpr std::size_t kSidecars = 250, kUpstreams = 50;
+  std::vector<UpstreamInfo> list;
+  for (std::size_t i = 0; i < kUpstreams; ++i) list.push_back(Up("s" + std::to_string(i)));
+  std::map<std::string, int> subsets;
+  for (std::size_t self = 0; self < kSidecars; ++self) {
+    Settings settings = DefaultSettings();
+    settings.balancers = kSidecars;
+    settings.self = self;
+    World w(settings, 100 + self);
+    w.Full(list);
+    Trickle(w, 4);
+    for (const auto& [id, calls] : Trickle(w, 12)) ++subsets[id];
+  }
+  ASSERT_EQ(subsets.size(), kUpstreams);
+  for (const auto& [id, sidecars] : subsets) {
+    EXPECT_GE(sidecars, 13) << id << ", 15 are its share";
+    EXPECT_LE(sidecars, 17) << id << ", 15 are its share";
+  }
+}
+
+// Upstreams hold only so many connections, and a full table costs them capacity.
+TEST(Aperture, ALargeFleetOpensFewConnectionsHoweverManyCallsOneOfItHas) {
+  Settings settings = DefaultSettings();
+  settings.balancers = 300;
+  settings.self = 17;
+  World w(settings);
+  std::vector<UpstreamInfo> list;
+  for (int i = 0; i < 60; ++i) list.push_back(Up("s" + std::to_string(i)));
+  w.Full(list);
+  std::map<std::string, int> spread;
+  for (int i = 0; i < 400; ++i) {  // 33 calls a second, from the first one on
+    w.Advance(20ms);
+    ++spread[w.Serve()];
+  }
+  EXPECT_LE(spread.size(), 5u);
+  EXPECT_GE(spread.size(), 3u);
+}
+
+TEST(Aperture, ABusySidecarOfALargeFleetSpreadsWhatItHoldsAtOnce) {
+  Settings settings = DefaultSettings();
+  settings.balancers = 300;
+  World w(settings);
+  std::vector<UpstreamInfo> list;
+  for (int i = 0; i < 60; ++i) list.push_back(Up("s" + std::to_string(i)));
+  w.Full(list);
+  std::map<std::string, int> spread;
+  for (int i = 0; i < 1500; ++i) {  // 100 calls a second, of which each takes 240 ms
+    w.Arrive(kUnsafe);
+    w.Advance(10ms);
+    if (i >= 24) w.Finish(w.sent[static_cast<std::size_t>(i - 24)], Outcome::kServed);
+    if (i >= 1000) ++spread[w.sent.back().upstream];
+  }
+  EXPECT_GE(spread.size(), 9u) << "24 calls held, two at each";
+  EXPECT_LE(spread.size(), 16u);
+}
+
 TEST(UnequalMachines, AnUpstreamNeverMetIsTakenForItsKind) {
   World w;
   std::vector<UpstreamInfo> list;
