Share a cold upstream's budget among its subset's members; let those beyond save nothing up

Cause: each of 300 sidecars saved a call up at a member's pace for each cold upstream, in its subset or not; when the other upstreams went all turned to the cold ones at once, 40 calls in a second where the settings allow 21. Now membership is the place on the ring, beyond it the sidecars give in sum as much as the members (before: many times) and save nothing, and entering a subset draws the budget anew, never upwards. As the members' turn waited for the budget and then for its turn, a call waits for both at once now.

Each process is counted for itself now; the bound is the same.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -38,7 +38,9 @@
 constexpr Duration kMaxEjection = seconds(120);
 constexpr Duration kHousekeeping = milliseconds(250);  // not urgent: decisions look at the clock
 constexpr std::uint64_t kHousekeepingToken = 0;
-constexpr double kColdSafety = 0.5;  // of what would topple a cold one, going by its peers' load
+// Of what would topple a cold one, going by its peers' load; and of that, from those beyond whose subset it
+// is.
+constexpr double kColdSafety = 0.5, kColdBeyond = 1;
 // Load is not sickness: where more than this share of the calls to the other upstreams fail, the run must be
 // long enough to be as rare as five in a row are here.
 constexpr double kOrdinaryFailureShare = 0.1;
@@ -848,29 +850,31 @@
   }
 
   // A cold upstream's calls are counted against what this sidecar usually sends a warm one of its weight. The
-  // rotation already gives it less; the budget holds when others fail and push their calls onto it.
+  // rotation already gives it less; the budget holds when others fail and push their calls onto it. It is
+  // shared by those in whose subset it is, by its place on the ring alone; those beyond give kColdBeyond of
+  // as much in sum and save nothing up: when its peers go, hundreds turn to it at once.
   bool HasColdBudget(Upstream& u) {
     const double warmth = Warmth(u);
     if (warmth >= 1) return true;
-    // Of the subset's weight: the rest of the list gets nothing from this sidecar, only from others.
+    const bool member = static_cast<double>(u.place) < SubsetSize();
     const double usual = std::max(usual_served_, usual_rate_ / 2) * u.info.weight /
                          std::max(usual_weight_ * SubsetShare(), u.info.weight);
-    const double rate = settings_.rules.fall_multiple * kColdSafety * warmth * usual;
-    const double most = std::max(1.0, rate * Seconds(settings_.rules.fall_window) / 2);
-    u.cold_budget = std::min(most, u.cold_budget + rate * Seconds(now_ - u.cold_refilled));
+    const double rate = settings_.rules.fall_multiple * kColdSafety * warmth * usual *
+                        (member ? 1 : SubsetShare() * kColdBeyond);
+    const double window = Seconds(settings_.rules.fall_window);
+    double since = Seconds(now_ - u.cold_refilled);
+    const bool enters = member && !u.cold_member;
+    if (enters || (!member && since > window / 2)) {
+      u.cold_budget = std::min(enters ? u.cold_budget : 1, Uniform());
+      since = std::min(since, window / 2);
+    }
+    u.cold_member = member;
+    u.cold_budget = std::min(std::max(1.0, rate * window / 2), u.cold_budget + rate * since);
     u.cold_refilled = now_;
-    return u.cold_budget >= 1;
-  }
-
-  // The usual rate and weight change slowly: a burst or the loss of half the list must not raise the budgets.
-  void UpdateUsual() {
-    const double dt = Seconds(kHousekeeping);
-    const double memory = std::min(Seconds(now_ - started_), Seconds(settings_.rules.cold_time) / 2);
-    usual_rate_ += (static_cast<double>(arrivals_) / dt - usual_rate_) * std::min(1.0, dt / memory);
-    usual_served_ += (static_cast<double>(served_) / dt - usual_served_) * std::min(1.0, dt / memory);
-    arrivals_ = served_ = 0;
-    usual_weight_ =
-        std::max(ListedWeight(), usual_weight_ * (1 - dt / (2 * Seconds(settings_.rules.cold_time))));
+    if (u.cold_budget >= 1) return true;
+    // The wait for it counts for its turn as well, or each call to it would wait twice.
+    if (u.credit < 0) u.credit = std::min(0.0, u.credit + Weight(u));
+    return false;
   }
 
   // ---- Timers and small helpers ----
@@ -890,7 +894,7 @@
 
   void Housekeeping() {
     Emit(SetTimer{now_ + kHousekeeping, kHousekeepingToken});
-    UpdateUsual();
+    UpdateUsual(kHousekeeping, settings_.rules.cold_time);
     UpdateLimit();
     trusted_idle_ = std::min(Scaled(trusted_idle_, kTrustGrowth), settings_.limits.idle_close);
     if (refusing_ && now_ - refused_at_ > kSpell) refusing_ = false, Say("taking calls again");
--- a/src/state.h
+++ b/src/state.h
@@ -76,6 +76,7 @@
 struct Upstream {
   UpstreamInfo info;
   std::uint64_t rank = 0;                        // its place on the ring of all sidecars
+  std::size_t place = 0;                         // along it from this sidecar's own place
   bool listed = true;                            // in the list that is being taken in
   UpstreamState told = UpstreamState::kServing;  // by the list; `info` has what counts
   std::optional<TimePoint> put_back;             // by the operators, perhaps as a new process
@@ -109,6 +110,7 @@
   // Slow start: calls it may still be sent, refilled over time.
   double cold_budget = 0;
   TimePoint cold_refilled;
+  bool cold_member = true;  // it was in the subset then
 };
 
 // What the operators last said of an upstream, and when.
@@ -195,6 +197,7 @@
     });
     const auto first = static_cast<std::ptrdiff_t>(ring_place_ * static_cast<double>(order_.size()));
     std::rotate(order_.begin(), order_.begin() + first, order_.end());
+    for (std::size_t i = 0; i < order_.size(); ++i) order_[i]->place = i;
   }
 
   double ListedWeight() const {
@@ -205,6 +208,17 @@
     return sum;
   }
 
+  // The usual rate and weight change slowly: a burst or the loss of half the list must not raise the budgets
+  // of those that are cold for `cold_time` at most. Called each `interval`.
+  void UpdateUsual(Duration interval, Duration cold_time) {
+    const double dt = Seconds(interval);
+    const double memory = std::min(Seconds(now_ - started_), Seconds(cold_time) / 2);
+    usual_rate_ += (static_cast<double>(arrivals_) / dt - usual_rate_) * std::min(1.0, dt / memory);
+    usual_served_ += (static_cast<double>(served_) / dt - usual_served_) * std::min(1.0, dt / memory);
+    arrivals_ = served_ = 0;
+    usual_weight_ = std::max(ListedWeight(), usual_weight_ * (1 - dt / (2 * Seconds(cold_time))));
+  }
+
   void Forget(RequestId id) {
     const Request* r = Find(id);
     if (r != nullptr && r->ended && !AnyOut(*r)) requests_.erase(id);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -403,7 +403,9 @@
   };
   std::map<RequestId, Open> requests;
   std::map<std::string, UpstreamInfo> upstreams;
-  std::map<std::string, std::deque<std::pair<TimePoint, double>>> cold_sends;  // when, and how warm
+  // To each cold process: when, and how warm it was. What an earlier process of it was sent does not press on
+  // it.
+  std::map<std::pair<std::string, TimePoint>, std::deque<std::pair<TimePoint, double>>> cold_sends;
 
   const auto check = [&]() {
     for (const Action& action : w.actions) {
@@ -463,7 +465,8 @@
       if (to.started && w.now - *to.started < s.rules.cold_time) {
         const double age =
             static_cast<double>((w.now - *to.started) / 1us) / static_cast<double>(s.rules.cold_time / 1us);
-        cold_sends[to.id.value].emplace_back(w.now, s.rules.cold_from + (1 - s.rules.cold_from) * age);
+        cold_sends[{to.id.value, *to.started}].emplace_back(
+            w.now, s.rules.cold_from + (1 - s.rules.cold_from) * age);
       }
     }
   };
@@ -543,11 +546,12 @@
   // About 45 first tries a second, and seldom fewer than two of the six upstreams listed: one that is fully
   // warm takes 22 a second at most, a cold one may be sent `fall_multiple` times its warm share of that, and
   // a call or two for the bunching.
-  for (const auto& [id, sends] : cold_sends) {
+  for (const auto& [process, sends] : cold_sends) {
     for (std::size_t i = 0; i < sends.size(); ++i) {
       std::size_t k = i;
       while (k + 1 < sends.size() && sends[k + 1].first - sends[i].first < s.rules.fall_window) ++k;
-      EXPECT_LE(static_cast<double>(k - i + 1), 2 + s.rules.fall_multiple * sends[k].second * 22) << id;
+      EXPECT_LE(static_cast<double>(k - i + 1), 2 + s.rules.fall_multiple * sends[k].second * 22)
+          << process.first;
     }
   }
   w.Advance(5s);
