--- /dev/null
+++ b/lab/scheduler.h
@@ -0,0 +1,73 @@
+// The clock that a run goes by, and what is to happen when. The models know no other time.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "kestrellb/balancer.h"
+
+namespace aspendyke::lab {
+
+using kestrellb::Duration;
+using kestrellb::TimePoint;
+
+// Not thread-safe: one thread owns a scheduler and all that is scheduled on it.
+class Scheduler {
+ public:
+  using Task = std::function<void()>;
+  virtual ~Scheduler() = default;
+  virtual TimePoint Now() const = 0;
+  // Runs `task` once at `when`, or as soon as possible where that is past; never inside this call. Tasks of
+  // the same time run in the order in which they were scheduled.
+  virtual void At(TimePoint when, Task task) = 0;
+  void After(Duration wait, Task task) { At(Now() + wait, std::move(task)); }
+};
+
+// Discrete events: time jumps from one task to the next.
+class VirtualScheduler : public Scheduler {
+ public:
+  TimePoint Now() const override { return now_; }
+  void At(TimePoint when, Task task) override;
+  // Runs all tasks up to `end`, and leaves the clock there.
+  void RunUntil(TimePoint end);
+  std::uint64_t tasks_run() const { return tasks_run_; }
+
+ private:
+  struct Entry {
+    TimePoint when;
+    std::uint64_t order;
+    Task task;
+  };
+  std::vector<Entry> heap_;
+  TimePoint now_{std::chrono::seconds(1000)};
+  std::uint64_t order_ = 0;
+  std::uint64_t tasks_run_ = 0;
+};
+
+// The machine's steady clock, on an io_context's thread.
+class RealScheduler : public Scheduler {
+ public:
+  explicit RealScheduler(boost::asio::io_context& io);
+  TimePoint Now() const override;
+  void At(TimePoint when, Task task) override;
+
+ private:
+  void Arm();
+
+  struct Entry {
+    TimePoint when;
+    std::uint64_t order;
+    Task task;
+  };
+  std::vector<Entry> heap_;
+  boost::asio::steady_timer timer_;
+  TimePoint armed_for_ = TimePoint::max();
+  std::uint64_t order_ = 0;
+};
+
+}  // namespace aspendyke::lab
