Read experiments, draw their deployments and play them from the command line

The emulator's contract had no reader, no draws and no program yet. A file is read key by key (toml_reader), each with its range, and refused whole with its line; each fault draws from a stream of its own kind and time; the runner takes the engines as functions.

--- a/lab/deployment.h
+++ b/lab/deployment.h
@@ -41,8 +41,9 @@
   double share = 0;
   int count = 1;
   std::string zone;
-  std::vector<std::size_t> upstreams;  // that it strikes
-  std::vector<std::size_t> sidecars;
+  std::vector<std::size_t>
+      upstreams;                      // that it strikes, in the order drawn (a change for each, or a restart)
+  std::vector<std::size_t> sidecars;  // likewise
 };
 
 struct Deployment {
@@ -53,7 +54,7 @@
   double requests_per_s = 0;       // over all sidecars
 };
 
-// `experiment` has to outlive the result.
+// `experiment` has to outlive the result. The size is one that FaultOfSizes() (experiment.h) accepts.
 Deployment MakeDeployment(const Experiment& experiment, std::size_t upstreams);
 
 // An independent seed for one purpose, from the experiment's seed: the same for the same words on every
--- a/lab/experiment.h
+++ b/lab/experiment.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "kestrellb/balancer.h"
@@ -142,6 +143,9 @@
   kBurst,           // `factor` times the load
 };
 
+// As in experiment files: `crash`, `zone_lost` and so on.
+std::string_view FaultName(FaultKind kind);
+
 struct FaultSpec {
   FaultKind kind = FaultKind::kCrash;
   Duration at{};  // from the end of the warm-up
@@ -186,6 +190,21 @@
   std::vector<Expectation> must_hold;
 };
 
+// `region` counts from 0; the name counts from 1, as in `r1-z1`.
+struct ZoneSpec {
+  std::string name;
+  std::size_t region = 0;
+};
+
+// The experiment's zones. Neighbours lie in different regions, so that a few of a kind spread over both.
+std::vector<ZoneSpec> ZonesOf(const Experiment& experiment);
+
+// How many sidecars a fleet of so many upstreams has: at least one.
+std::size_t SidecarsFor(const Experiment& experiment, std::size_t upstreams);
+
+// What keeps the experiment from being played at these sizes, in words; absent where nothing does.
+std::optional<std::string> FaultOfSizes(const Experiment& experiment, const std::vector<std::size_t>& sizes);
+
 // Reads and checks `path`. Throws ExperimentError: a fault of the syntax, an unknown or doubled key, a value
 // of another type or outside its range, an unknown metric or fault, each with its line.
 Experiment LoadExperiment(const std::string& path);
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,179 @@
+// aspendyke-lab: plays experiments on the emulator. Command line, signals and exit code.
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <csignal>
+#include <cstdint>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <limits>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "deployment.h"
+#include "experiment.h"
+#include "run.h"
+#include "schedule.h"
+
+namespace {
+
+using aspendyke::lab::ExitCode;
+using aspendyke::lab::Experiment;
+
+// The command line asks for what can't be done. One line.
+class UsageError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Arguments {
+  std::string file;
+  std::vector<std::size_t> sizes;  // empty: the file's
+  std::size_t size = 0;
+  std::optional<std::int64_t> seed;
+  std::string out;
+  std::string program;  // empty: see DefaultProgram()
+};
+
+std::atomic<bool> stop_wanted{false};
+
+// A second signal finds the default action, for a run that does not heed the first.
+extern "C" void NoteSignal(int signal) {
+  stop_wanted = true;
+  std::signal(signal, SIG_DFL);
+}
+
+// The real sidecar of the build that this program is of: in its own folder, or in the one above.
+std::string DefaultProgram() {
+  namespace fs = std::filesystem;
+  std::error_code error;
+  const fs::path folder = fs::read_symlink("/proc/self/exe", error).parent_path();
+  const fs::path beside = folder / "mothrack";
+  return (fs::exists(beside, error) ? beside : folder.parent_path() / "mothrack").string();
+}
+
+Experiment Load(const Arguments& arguments, const std::vector<std::size_t>& sizes) {
+  Experiment experiment = aspendyke::lab::LoadExperiment(arguments.file);
+  if (arguments.seed) experiment.seed = static_cast<std::uint64_t>(*arguments.seed);
+  if (sizes.empty()) return experiment;
+  if (const auto fault = FaultOfSizes(experiment, sizes)) throw UsageError(*fault);
+  experiment.sizes = sizes;
+  return experiment;
+}
+
+void RequireProgram(const Experiment& experiment, const std::string& program) {
+  std::error_code error;
+  if (experiment.sidecars.real == 0 || std::filesystem::is_regular_file(program, error)) return;
+  throw UsageError("--program: there is no " + program + ", the program of the real sidecars");
+}
+
+ExitCode Run(const Arguments& arguments) {
+  const Experiment experiment = Load(arguments, arguments.sizes);
+  aspendyke::lab::RunOptions options;
+  options.program = arguments.program.empty() ? DefaultProgram() : arguments.program;
+  RequireProgram(experiment, options.program);
+  std::ofstream records;
+  if (!arguments.out.empty()) {
+    records.open(arguments.out, std::ios::trunc);
+    if (!records) throw UsageError("--out: " + arguments.out + " can't be written");
+  }
+  std::signal(SIGINT, NoteSignal);
+  std::signal(SIGTERM, NoteSignal);
+  options.stop_wanted = [] { return stop_wanted.load(); };
+  return PlayExperiment(experiment, options,
+                        {std::cerr, std::cout, arguments.out.empty() ? nullptr : &records});
+}
+
+ExitCode Check(const Arguments& arguments) {
+  const Experiment experiment = Load(arguments, arguments.sizes);
+  for (const std::size_t size : experiment.sizes) {
+    PrintSummary(std::cout, experiment, MakeDeployment(experiment, size));
+  }
+  return ExitCode::kHeld;
+}
+
+ExitCode Schedule(const Arguments& arguments) {
+  const Experiment experiment = Load(arguments, {arguments.size});
+  PrintSchedule(std::cout, experiment, MakeDeployment(experiment, arguments.size));
+  return ExitCode::kHeld;
+}
+
+void AddFile(CLI::App& command, Arguments& arguments) {
+  command.add_option("FILE", arguments.file, "the experiment, TOML (docs/lab.md)")->required();
+  command.add_option("--seed", arguments.seed, "in place of the file's")
+      ->check(CLI::Range(std::int64_t{0}, std::numeric_limits<std::int64_t>::max()))
+      ->type_name("N");
+}
+
+void AddSizes(CLI::App& command, Arguments& arguments) {
+  command.add_option("--sizes", arguments.sizes, "numbers of upstreams in place of the file's, growing")
+      ->delimiter(',')
+      ->type_name("N,N...");
+}
+
+CLI::App* AddRun(CLI::App& app, Arguments& arguments) {
+  CLI::App* command = app.add_subcommand("run", "play an experiment over its sizes");
+  AddFile(*command, arguments);
+  AddSizes(*command, arguments);
+  command->add_option("--out", arguments.out, "where records go, one JSON object a line")->type_name("PATH");
+  command->add_option("--program", arguments.program, "the real sidecar [mothrack of the same build]")
+      ->type_name("PATH");
+  command->footer(
+      "Progress goes to standard error, the closing table to standard output.\n"
+      "Exit code: 0 all that must hold held, 1 something did not, 2 bad file or usage, 3 the run failed.\n"
+      "Example: aspendyke-lab run lab/experiments/jam.toml --sizes 100,200 --out jam.jsonl");
+  return command;
+}
+
+CLI::App* AddCheck(CLI::App& app, Arguments& arguments) {
+  CLI::App* command = app.add_subcommand("check", "check a file and say what it amounts to at each size");
+  AddFile(*command, arguments);
+  AddSizes(*command, arguments);
+  command->footer("Example: aspendyke-lab check lab/experiments/smoke.toml");
+  return command;
+}
+
+CLI::App* AddSchedule(CLI::App& app, Arguments& arguments) {
+  CLI::App* command =
+      app.add_subcommand("schedule", "print the drawn deployment and whom each fault strikes");
+  AddFile(*command, arguments);
+  command->add_option("--size", arguments.size, "number of upstreams")->required()->type_name("N");
+  command->footer("Example: aspendyke-lab schedule lab/experiments/zones.toml --size 60 --seed 7");
+  return command;
+}
+
+int Code(ExitCode code) { return static_cast<int>(code); }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Arguments arguments;
+  CLI::App app("Plays experiments on an emulated fleet of upstreams and sidecars.", "aspendyke-lab");
+  app.require_subcommand(1);
+  app.footer("Example: aspendyke-lab run lab/experiments/smoke.toml");
+  const CLI::App* run = AddRun(app, arguments);
+  const CLI::App* check = AddCheck(app, arguments);
+  AddSchedule(app, arguments);
+  try {
+    app.parse(argc, argv);
+    if (run->parsed()) return Code(Run(arguments));
+    if (check->parsed()) return Code(Check(arguments));
+    return Code(Schedule(arguments));
+  } catch (const CLI::ParseError& error) {
+    if (error.get_exit_code() == static_cast<int>(CLI::ExitCodes::Success)) return app.exit(error);
+    std::cerr << "aspendyke-lab: " << error.what() << " (see --help)\n";
+    return Code(ExitCode::kBadInput);
+  } catch (const aspendyke::lab::ExperimentError& error) {
+    std::cerr << error.what() << "\n";
+    return Code(ExitCode::kBadInput);
+  } catch (const UsageError& error) {
+    std::cerr << "aspendyke-lab: " << error.what() << "\n";
+    return Code(ExitCode::kBadInput);
+  } catch (const std::exception& error) {
+    std::cerr << "aspendyke-lab: " << error.what() << "\n";
+    return Code(ExitCode::kRunFailed);
+  }
+}
--- /dev/null
+++ b/lab/run.cpp
@@ -0,0 +1,125 @@
+#include "run.h"
+
+#include <cstdio>
+#include <exception>
+#include <ostream>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+#include "metrics.h"
+
+namespace aspendyke::lab {
+namespace {
+
+// Thrown through an engine to end it early.
+class Interrupted : public std::runtime_error {
+ public:
+  Interrupted() : std::runtime_error("interrupted") {}
+};
+
+// `  12.0 s  in time 99.8%  refused 3  failed 0`, beginning with the size.
+std::string ProgressLine(std::size_t size, const Sample& sample) {
+  constexpr double kPercent = 100;
+  char line[160];
+  std::snprintf(line, sizeof(line), "size %zu %7.1f s  in time %5.1f%%  refused %llu  failed %llu", size,
+                sample.at_s, kPercent * sample.in_time_share,
+                static_cast<unsigned long long>(sample.traffic.refused),
+                static_cast<unsigned long long>(sample.traffic.failed));
+  return line;
+}
+
+// One play of an experiment.
+class Player {
+ public:
+  Player(const Experiment& experiment, const RunOptions& options, const RunOutputs& outputs,
+         const Engines& engines)
+      : experiment_(experiment), options_(options), outputs_(outputs), engines_(engines) {}
+
+  ExitCode Play() {
+    for (const std::size_t size : experiment_.sizes) {
+      if (!PlaySize(size)) {
+        complete_ = false;
+        break;
+      }
+    }
+    Report();
+    if (!complete_) return ExitCode::kRunFailed;
+    return held_ ? ExitCode::kHeld : ExitCode::kNotHeld;
+  }
+
+ private:
+  // False where it did not come to its end.
+  bool PlaySize(std::size_t size) {
+    try {
+      const Deployment deployment = MakeDeployment(experiment_, size);
+      Announce(deployment);
+      const Metrics metrics = RunEngine(deployment);
+      runs_.push_back(metrics);
+      Record([&](std::ostream& out) { WriteSummary(out, experiment_, size, metrics); });
+      return true;
+    } catch (const std::exception& error) {
+      outputs_.progress << "size " << size << ": " << error.what() << std::endl;
+      return false;
+    }
+  }
+
+  Metrics RunEngine(const Deployment& deployment) const {
+    const std::size_t size = deployment.upstreams.size();
+    const OnSample on_sample = [this, size](const Sample& sample) { TakeSample(size, sample); };
+    if (experiment_.clock == ClockKind::kVirtual) {
+      return engines_.on_virtual_clock(experiment_, deployment, on_sample);
+    }
+    return engines_.on_real_clock(experiment_, deployment, options_.program, on_sample);
+  }
+
+  void Announce(const Deployment& deployment) const {
+    outputs_.progress << experiment_.name << ": size " << deployment.upstreams.size() << ", "
+                      << deployment.sidecars.size() << " sidecars, " << deployment.requests_per_s
+                      << " requests/s, seed " << experiment_.seed << std::endl;
+  }
+
+  void TakeSample(std::size_t size, const Sample& sample) const {
+    outputs_.progress << ProgressLine(size, sample) << std::endl;
+    Record([&](std::ostream& out) { WriteSample(out, experiment_, size, sample); });
+    if (options_.stop_wanted()) throw Interrupted();
+  }
+
+  // Records that can't be written end the run: a long one without them would be in vain.
+  template <typename Write>
+  void Record(Write write) const {
+    if (!outputs_.records) return;
+    write(*outputs_.records);
+    outputs_.records->flush();
+    if (!*outputs_.records) throw std::runtime_error("the records can't be written");
+  }
+
+  void Report() {
+    if (runs_.empty()) return;
+    PrintTable(outputs_.report, runs_);
+    for (std::size_t i = 0; i < runs_.size(); ++i) {
+      const std::vector<Verdict> verdicts = Judge(experiment_, runs_[i]);
+      PrintVerdicts(outputs_.report, experiment_.sizes[i], verdicts);
+      for (const Verdict& verdict : verdicts) held_ = held_ && verdict.holds;
+    }
+    PrintSlopes(outputs_.report, FitSlopes(runs_));
+    outputs_.report.flush();
+  }
+
+  const Experiment& experiment_;
+  const RunOptions& options_;
+  const RunOutputs& outputs_;
+  const Engines& engines_;
+  std::vector<Metrics> runs_;  // of the sizes done, in their order
+  bool complete_ = true;
+  bool held_ = true;
+};
+
+}  // namespace
+
+ExitCode PlayExperiment(const Experiment& experiment, const RunOptions& options, const RunOutputs& outputs,
+                        const Engines& engines) {
+  return Player(experiment, options, outputs, engines).Play();
+}
+
+}  // namespace aspendyke::lab
