--- a/lab/deployment.h
+++ b/lab/deployment.h
@@ -54,7 +54,7 @@
   double requests_per_s = 0;       // over all sidecars
 };
 
-// `experiment` has to outlive the result. The size is one that FaultOfSizes() (experiment.h) accepts.
+// `experiment` has to outlive the result. The size is one that SizesError() (experiment.h) accepts.
 Deployment MakeDeployment(const Experiment& experiment, std::size_t upstreams);
 
 // An independent seed for one purpose, from the experiment's seed: the same for the same words on every
--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -334,7 +334,7 @@
   ReadFaults(file, experiment);
   for (TableReader& table : file.Tables("must_hold")) experiment.must_hold.push_back(ReadExpectation(table));
   file.Finish();
-  if (const auto fault = FaultOfSizes(experiment, experiment.sizes)) file.Fail("sizes", *fault);
+  if (const auto error = SizesError(experiment, experiment.sizes)) file.Fail("sizes", *error);
   return experiment;
 }
 
@@ -368,7 +368,7 @@
   return static_cast<std::size_t>(std::max(1.0, std::round(sidecars)));
 }
 
-std::optional<std::string> FaultOfSizes(const Experiment& experiment, const std::vector<std::size_t>& sizes) {
+std::optional<std::string> SizesError(const Experiment& experiment, const std::vector<std::size_t>& sizes) {
   if (sizes.empty()) return "sizes is empty";
   for (std::size_t i = 1; i < sizes.size(); ++i) {
     if (sizes[i] <= sizes[i - 1]) return "sizes has to grow from each to the next";
--- a/lab/experiment.h
+++ b/lab/experiment.h
@@ -203,7 +203,7 @@
 std::size_t SidecarsFor(const Experiment& experiment, std::size_t upstreams);
 
 // What keeps the experiment from being played at these sizes, in words; absent where nothing does.
-std::optional<std::string> FaultOfSizes(const Experiment& experiment, const std::vector<std::size_t>& sizes);
+std::optional<std::string> SizesError(const Experiment& experiment, const std::vector<std::size_t>& sizes);
 
 // Reads and checks `path`. Throws ExperimentError: a fault of the syntax, an unknown or doubled key, a value
 // of another type or outside its range, an unknown metric or fault, each with its line.
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -59,7 +59,7 @@
   Experiment experiment = aspendyke::lab::LoadExperiment(arguments.file);
   if (arguments.seed) experiment.seed = static_cast<std::uint64_t>(*arguments.seed);
   if (sizes.empty()) return experiment;
-  if (const auto fault = FaultOfSizes(experiment, sizes)) throw UsageError(*fault);
+  if (const auto error = SizesError(experiment, sizes)) throw UsageError(*error);
   experiment.sizes = sizes;
   return experiment;
 }
--- a/tests/lab_experiment_test.cpp
+++ b/tests/lab_experiment_test.cpp
@@ -91,8 +91,8 @@
     Ranges, BadFiles,
     testing::Values(
         BadFile{kHead + "[network]\njitter = 1.5\n", kAdded + 1, "outside 0 to 1"},
-        BadFile{kHead + "[load]\ninequality = nan\n", kAdded + 1, "outside"},
-        BadFile{kHead + "[load]\nper_upstream = inf\n", kAdded + 1, "outside"},
+        BadFile{kHead + "[load]\ninequality = nan\n", kAdded + 1, "nan is outside"},
+        BadFile{kHead + "[load]\nper_upstream = inf\n", kAdded + 1, "inf is outside"},
         BadFile{kHead + "[load]\nper_upstream = 2\nutilization = 0.5\n", kAdded + 2, "both"},
         BadFile{kHead + "[sidecars]\nreal = 2\n", kAdded + 1, "clock"},
         BadFile{Replaced(kHead, "aim_ms = 100", "aim_ms = 501"), 9, "deadline_ms"},
