Measure runs of the emulator: distributions, JSON lines, tables, verdicts, slopes

The emulator's parts need one place that names what a run measured and says whether it held. Percentiles are by nearest rank; a quantity that is not finite is null in the JSON lines and fails its expectation; verdicts show as many digits as it takes to tell the value from its bound. Slopes also tell their standard error.

--- a/lab/metrics.h
+++ b/lab/metrics.h
@@ -7,25 +7,11 @@
 #include <string_view>
 #include <vector>
 
+#include "distribution.h"
 #include "experiment.h"
 
 namespace aspendyke::lab {
 
-// Values to take percentiles of. All are kept: a run holds a few million at the most.
-class Distribution {
- public:
-  void Add(double value);
-  void Merge(const Distribution& other);
-  std::size_t count() const { return values_.size(); }
-  double mean() const;
-  // The smallest value that at least `share` (0 to 1) of all do not pass; 0 where there is none.
-  double Percentile(double share) const;
-
- private:
-  mutable std::vector<double> values_;
-  mutable bool sorted_ = true;
-};
-
 // Requests and attempts of one sample or of a whole run.
 struct TrafficCounters {
   std::uint64_t requests = 0;  // clients' first tries
@@ -95,7 +81,8 @@
 const std::vector<MetricDescription>& AllMetrics();
 const MetricDescription* FindMetric(std::string_view name);  // null where there is none
 
-// One JSON object and a line's end: a sample with its run's name, size and seed.
+// One JSON object and a line's end: a sample ("event":"sample") with its run's name, size and seed. A
+// quantity that is not finite is written as null.
 void WriteSample(std::ostream& out, const Experiment& experiment, std::size_t size, const Sample& sample);
 // Likewise for the totals at the end ("event":"summary").
 void WriteSummary(std::ostream& out, const Experiment& experiment, std::size_t size, const Metrics& metrics);
@@ -105,20 +92,29 @@
   double value = 0;
   bool holds = false;
 };
+// One verdict for each expectation of the experiment, in its order. What can't be judged does not hold: a
+// metric that there is not, or a value that is not a number.
 std::vector<Verdict> Judge(const Experiment& experiment, const Metrics& metrics);
 
-// The closing table for people: a column a size, a row a metric; then a line for each verdict.
+// The closing table for people: a column a run, headed by its number of upstreams; a row a metric that any
+// run has other than zero.
 void PrintTable(std::ostream& out, const std::vector<Metrics>& runs);
+// A line for each: `100 upstreams: holds METRIC: ...` or `100 upstreams: FAILS METRIC: wanted at least X, got
+// Y`.
 void PrintVerdicts(std::ostream& out, std::size_t size, const std::vector<Verdict>& verdicts);
 
 // Least squares of one metric over the number of upstreams: value = intercept + slope * upstreams.
 struct Slope {
   std::string_view metric;
   double intercept = 0;
-  double slope = 0;
-  double r_squared = 0;  // 1: the points lie on the line
+  double slope = 0;           // in the metric's unit, for one upstream
+  double r_squared = 0;       // 1: the points lie on the line
+  double standard_error = 0;  // of the slope
 };
-std::vector<Slope> FitSlopes(const std::vector<Metrics>& runs);  // empty for fewer than three sizes
+// One slope for each metric that any run has other than zero, `upstreams` itself aside. Empty for fewer than
+// three sizes; runs of the same size count as points of their own.
+std::vector<Slope> FitSlopes(const std::vector<Metrics>& runs);
+// A row a metric: its value at no upstreams, its growth for 1 and for 100 upstreams, and how sure that is.
 void PrintSlopes(std::ostream& out, const std::vector<Slope>& slopes);
 
 }  // namespace aspendyke::lab
--- /dev/null
+++ b/tests/lab_metrics_test.cpp
@@ -0,0 +1,248 @@
+#include <cmath>
+#include <initializer_list>
+#include <limits>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gtest/gtest.h"
+#include "lab/metrics.h"
+#include "lab/text_table.h"
+#include "nlohmann/json.hpp"
+
+namespace aspendyke::lab {
+namespace {
+
+constexpr double kNotANumber = std::numeric_limits<double>::quiet_NaN();
+constexpr double kInfinity = std::numeric_limits<double>::infinity();
+
+Distribution Of(std::initializer_list<double> values) {
+  Distribution distribution;
+  for (const double value : values) distribution.Add(value);
+  return distribution;
+}
+
+TEST(Distribution, TakesPercentilesByNearestRank) {
+  const Distribution five = Of({50, 15, 40, 20, 35});
+  Distribution hundred;
+  for (int i = 100; i > 0; --i) hundred.Add(i);
+  struct {
+    const Distribution& of;
+    double share, value;
+  } const cases[] = {{five, 0, 15},         {five, 0.05, 15},    {five, 0.3, 20},
+                     {five, 0.4, 20},       {five, 0.41, 35},    {five, 0.5, 35},
+                     {five, 1, 50},         {hundred, 0.07, 7},  {hundred, 0.99, 99},
+                     {hundred, 0.991, 100}, {hundred, 0.29, 29}, {Distribution(), 0.5, 0}};
+  for (const auto& c : cases) EXPECT_EQ(c.of.Percentile(c.share), c.value) << c.share;
+}
+
+TEST(Distribution, CountsValuesAddedAndMergedAfterItWasRead) {
+  Distribution values = Of({3, 1});
+  EXPECT_EQ(values.Percentile(1), 3);
+  values.Add(2);
+  values.Merge(Of({0, 9}));
+  values.Merge(values);
+  EXPECT_EQ(values.count(), 10u);
+  EXPECT_EQ(values.Percentile(0.5), 2);
+  EXPECT_EQ(values.Percentile(1), 9);
+  EXPECT_EQ(values.mean(), 3);
+  EXPECT_EQ(values.ShareAbove(2), 0.4);
+  EXPECT_EQ(Distribution().mean(), 0);
+  EXPECT_THROW(values.Add(kNotANumber), std::invalid_argument);
+}
+
+TEST(Metrics, ListsEveryValueOnceWithItsUnit) {
+  EXPECT_EQ(AllMetrics().size() * sizeof(double), sizeof(Metrics));
+  Metrics metrics;
+  double mark = 0;
+  for (const MetricDescription& metric : AllMetrics()) {
+    EXPECT_EQ(metrics.*metric.value, 0) << metric.name;
+    metrics.*metric.value = ++mark;
+    EXPECT_EQ(FindMetric(metric.name), &metric);
+    EXPECT_FALSE(metric.unit.empty()) << metric.name;
+  }
+  EXPECT_EQ(FindMetric("nothing"), nullptr);
+}
+
+Experiment Named() {
+  Experiment experiment;
+  experiment.name = "crash";
+  experiment.seed = 7;
+  return experiment;
+}
+
+TEST(JsonLines, WritesSampleAsOneLineOfFiniteNumbers) {
+  Sample sample;
+  sample.at_s = 2.5;
+  sample.traffic.requests = 5;
+  sample.traffic.probes = 3;
+  sample.traffic += sample.traffic;
+  sample.latency_p99_ms = kNotANumber;
+  sample.load_spread = 1.25;
+  sample.held = 4;
+  std::ostringstream out;
+  WriteSample(out, Named(), 100, sample);
+  EXPECT_EQ(out.str().find('\n'), out.str().size() - 1);
+  const auto line = nlohmann::json::parse(out.str());
+  EXPECT_EQ(line.size(), 4 + 1 + 13 + 15 + 2u);  // the run, the time, counters, quantities, counts
+  EXPECT_EQ(line["event"], "sample");
+  EXPECT_EQ(line["experiment"], "crash");
+  EXPECT_EQ(line["size"], 100);
+  EXPECT_EQ(line["seed"], 7);
+  EXPECT_EQ(line["at_s"], 2.5);
+  EXPECT_EQ(line["requests"], 10);
+  EXPECT_EQ(line["probes"], 6);
+  EXPECT_EQ(line["load_spread"], 1.25);
+  EXPECT_EQ(line["held"], 4);
+  EXPECT_TRUE(line["latency_p99_ms"].is_null());
+}
+
+TEST(JsonLines, WritesSummaryWithEveryMetric) {
+  Metrics metrics;
+  metrics.in_time_share = 0.875;
+  metrics.notice_last_ms = kInfinity;
+  std::ostringstream out;
+  WriteSummary(out, Named(), 30, metrics);
+  const auto line = nlohmann::json::parse(out.str());
+  EXPECT_EQ(line["event"], "summary");
+  EXPECT_EQ(line["size"], 30);
+  EXPECT_EQ(line["in_time_share"], 0.875);
+  EXPECT_TRUE(line["notice_last_ms"].is_null());
+  for (const MetricDescription& metric : AllMetrics()) EXPECT_TRUE(line.contains(std::string(metric.name)));
+}
+
+TEST(Verdicts, JudgesAndPrintsEachExpectation) {
+  struct {
+    Expectation expectation;
+    double value;
+    bool holds;
+    const char* line;
+  } const cases[] = {
+      {{"in_time_share", Comparison::kAtLeast, 0.9},
+       0.9,
+       true,
+       "30 upstreams: holds in_time_share: wanted at least 0.9, got 0.9\n"},
+      {{"in_time_share", Comparison::kAtLeast, 0.9},
+       0.85,
+       false,
+       "30 upstreams: FAILS in_time_share: wanted at least 0.9, got 0.85\n"},
+      {{"in_time_share", Comparison::kAtLeast, 0.9},
+       0.8999996,
+       false,
+       "30 upstreams: FAILS in_time_share: wanted at least 0.9, got 0.8999996\n"},
+      {{"in_time_share", Comparison::kAtMost, 0.5},
+       0.5,
+       true,
+       "30 upstreams: holds in_time_share: wanted at most 0.5, got 0.5\n"},
+      {{"in_time_share", Comparison::kAtMost, 0.5},
+       0.75,
+       false,
+       "30 upstreams: FAILS in_time_share: wanted at most 0.5, got 0.75\n"},
+      {{"in_time_share", Comparison::kAtMost, 0.5},
+       kNotANumber,
+       false,
+       "30 upstreams: FAILS in_time_share: wanted at most 0.5, got nan\n"},
+      {{"nothing", Comparison::kAtMost, 0.5},
+       0,
+       false,
+       "30 upstreams: FAILS nothing: wanted at most 0.5, got nan\n"},
+  };
+  for (const auto& c : cases) {
+    Experiment experiment;
+    experiment.must_hold = {c.expectation};
+    Metrics metrics;
+    metrics.in_time_share = c.value;
+    const std::vector<Verdict> verdicts = Judge(experiment, metrics);
+    ASSERT_EQ(verdicts.size(), 1u);
+    EXPECT_EQ(verdicts[0].holds, c.holds) << c.line;
+    std::ostringstream out;
+    PrintVerdicts(out, 30, verdicts);
+    EXPECT_EQ(out.str(), c.line);
+  }
+}
+
+TEST(Tables, FormatNumbersWithSensibleDigits) {
+  struct {
+    double value;
+    const char* text;
+  } const cases[] = {{0, "0"},
+                     {-0.0, "0"},
+                     {3, "3"},
+                     {0.25, "0.2500"},
+                     {0.99996, "0.99996"},
+                     {0.99994, "0.9999"},
+                     {1.23456, "1.235"},
+                     {123.456, "123.5"},
+                     {12345.6, "12346"},
+                     {-0.012345, "-0.01235"},
+                     {2e-5, "2.000e-05"},
+                     {6.9e13, "6.900e+13"},
+                     {kNotANumber, "-"},
+                     {kInfinity, "-"}};
+  for (const auto& c : cases) EXPECT_EQ(FormatNumber(c.value), c.text);
+}
+
+TEST(Tables, AlignAColumnForEachSizeAndLeaveOutWhatIsZeroInAll) {
+  std::vector<Metrics> runs(2);
+  runs[0].upstreams = 30;
+  runs[0].in_time_share = 0.98765;
+  runs[1].upstreams = 1000;
+  runs[1].requests = 123456;
+  std::ostringstream out;
+  PrintTable(out, runs);
+  EXPECT_EQ(out.str(),
+            "upstreams      unit       30    1000\n"
+            "------------------------------------\n"
+            "requests       count       0  123456\n"
+            "in_time_share  share  0.9877       0\n");
+}
+
+std::vector<Metrics> RunsWithLatency(std::initializer_list<std::pair<double, double>> points) {
+  std::vector<Metrics> runs;
+  for (const auto& [upstreams, latency] : points) {
+    runs.emplace_back().upstreams = upstreams;
+    runs.back().latency_p50_ms = latency;
+  }
+  return runs;
+}
+
+TEST(Slopes, FitLeastSquares) {
+  struct {
+    std::vector<Metrics> runs;
+    double intercept, slope, r_squared, standard_error;
+  } const cases[] = {
+      {RunsWithLatency({{100, 3}, {200, 5}, {400, 9}}), 1, 0.02, 1, 0},
+      {RunsWithLatency({{1, 6}, {2, 5}, {3, 7}, {4, 10}}), 3.5, 1.4, 0.7, std::sqrt(0.42)},
+      {RunsWithLatency({{10, 4}, {20, 4}, {30, 4}}), 4, 0, 1, 0},
+  };
+  for (const auto& c : cases) {
+    const std::vector<Slope> slopes = FitSlopes(c.runs);
+    ASSERT_EQ(slopes.size(), 1u);
+    EXPECT_EQ(slopes[0].metric, "latency_p50_ms");
+    EXPECT_NEAR(slopes[0].intercept, c.intercept, 1e-12);
+    EXPECT_NEAR(slopes[0].slope, c.slope, 1e-12);
+    EXPECT_NEAR(slopes[0].r_squared, c.r_squared, 1e-12);
+    EXPECT_NEAR(slopes[0].standard_error, c.standard_error, 1e-12);
+  }
+  EXPECT_TRUE(FitSlopes(RunsWithLatency({{10, 1}, {20, 2}, {20, 3}})).empty());
+}
+
+TEST(Slopes, ArePrintedForOneAndForAHundredUpstreams) {
+  std::ostringstream out;
+  PrintSlopes(out, {{"latency_p50_ms", 1.5, 0.02, 0.75, 0.003}});
+  const std::string table = out.str();
+  const std::string row = table.substr(table.rfind("latency_p50_ms"));
+  std::istringstream cells(row);
+  const std::vector<std::string> expected = {"latency_p50_ms", "ms",    "1.500", "0.02000", "2",
+                                             "0.3000",         "0.7500"};
+  for (const std::string& cell : expected) {
+    std::string printed;
+    cells >> printed;
+    EXPECT_EQ(printed, cell);
+  }
+}
+
+}  // namespace
+}  // namespace aspendyke::lab
