Tell what a chain of calls adds: time, slow hops, attempts at a failing leaf, deadlines

A request that passes many services pays for each sidecar on its way, and retries at every hop multiply at the last service.

--- a/tests/lab_metrics_test.cpp
+++ b/tests/lab_metrics_test.cpp
@@ -1,5 +1,7 @@
+#include <chrono>
 #include <cmath>
 #include <initializer_list>
+#include <iterator>
 #include <limits>
 #include <sstream>
 #include <stdexcept>
@@ -8,6 +10,7 @@
 #include <vector>
 
 #include "gtest/gtest.h"
+#include "lab/chain.h"
 #include "lab/metrics.h"
 #include "lab/text_table.h"
 #include "nlohmann/json.hpp"
@@ -15,6 +18,7 @@
 namespace aspendyke::lab {
 namespace {
 
+using namespace std::chrono_literals;
 constexpr double kNotANumber = std::numeric_limits<double>::quiet_NaN();
 constexpr double kInfinity = std::numeric_limits<double>::infinity();
 
@@ -244,5 +248,87 @@
   }
 }
 
+TEST(Chain, AddsTheHopsUp) {
+  const Distribution constant = SimulateChain(Of({0.5}), 29, 100, 1);
+  EXPECT_EQ(constant.count(), 100u);
+  EXPECT_EQ(constant.Percentile(0), 14.5);
+  EXPECT_EQ(constant.Percentile(1), 14.5);
+  const Distribution hop = Of({0, 0, 0, 1});
+  const Distribution chain = SimulateChain(hop, 8, kMostChainDraws, 3);
+  EXPECT_NEAR(chain.mean(), 2, 0.02);  // 5 standard errors of 0.004
+  EXPECT_NEAR(chain.ShareAbove(0), ShareOfChainsWithAny(hop.ShareAbove(0.5), 8), 0.005);
+  EXPECT_EQ(chain.SortedValues(), SimulateChain(hop, 8, kMostChainDraws, 3).SortedValues());
+  EXPECT_NE(chain.mean(), SimulateChain(hop, 8, kMostChainDraws, 4).mean());
+}
+
+TEST(Chain, RefusesWhatItCannotDraw) {
+  EXPECT_THROW(SimulateChain(Distribution(), 2, 1, 1), std::invalid_argument);
+  EXPECT_THROW(SimulateChain(Of({1}), 0, 1, 1), std::invalid_argument);
+  EXPECT_THROW(SimulateChain(Of({1}), 2, 0, 1), std::invalid_argument);
+  EXPECT_THROW(SimulateChain(Of({1}), 2, kMostChainDraws + 1, 1), std::invalid_argument);
+}
+
+TEST(Chain, TellsTheShareOfChainsWithASlowHop) {
+  struct {
+    double hop_share;
+    std::size_t depth;
+    double share;
+  } const cases[] = {{0, 29, 0}, {1, 29, 1}, {0.5, 2, 0.75}, {0.1, 1, 0.1}, {0.01, 29, 0.25282790566840}};
+  for (const auto& c : cases) EXPECT_NEAR(ShareOfChainsWithAny(c.hop_share, c.depth), c.share, 1e-12);
+}
+
+TEST(Chain, MultipliesAttemptsAtAFailingLeaf) {
+  struct {
+    RetryChain chain;
+    double expected, most, budgeted, bound;
+  } const cases[] = {
+      {{1, 3, 0.5, 10}, 1.75, 3, 1.75, 11},                   // 1 + 1/2 + 1/4, the budget is not reached
+      {{2, 2, 0.5, 10}, 1.875, 4, 1.875, 121},                // 1 + 1/2 + 1/4 + 1/8
+      {{2, 3, 0, 0.1}, 1, 9, 1, 1.21},                        // nothing fails
+      {{2, 3, 1, 0.1}, 9, 9, 1.21, 1.21},                     // all fails
+      {{8, 3, 1, 0.1}, 6561, 6561, 2.14358881, 2.14358881},   //
+      {{2, 3, 0.5, 0.1}, 1.99609375, 9, 1.21, 1.21},          // 2 - 2^-8
+      {{2, 2, 0.1, 0.1}, 1.111, 4, 1.1 * 1.01, 1.21},         // the budget is reached exactly at the leaf
+      {{2, 2, 0.2, 0.1}, 1.248, 4, 1.1 * 1.1, 1.21},          // 12 of 100 still fail after the leaf's hop
+      {{2, 2, 0.02, 0.1}, 1.020408, 4, 1.02 * 1.0004, 1.21},  // below the budget at both hops
+  };
+  for (const auto& c : cases) {
+    EXPECT_NEAR(AttemptsWithoutBudget(c.chain).expected, c.expected, 1e-9);
+    EXPECT_NEAR(AttemptsWithoutBudget(c.chain).most, c.most, 1e-9);
+    EXPECT_NEAR(AttemptsWithBudget(c.chain).expected, c.budgeted, 1e-9);
+    EXPECT_NEAR(AttemptsWithBudget(c.chain).most, c.bound, 1e-9);
+  }
+}
+
+TEST(Chain, ShrinksDeadlinesToZeroAndNoFurther) {
+  const std::vector<kestrellb::Duration> expected = {70ms, 40ms, 10ms, 0ms, 0ms};
+  EXPECT_EQ(RemainingDeadlines(100ms, 20ms, 10ms, 5), expected);
+}
+
+TEST(Chain, PrintsAColumnForEachDepth) {
+  ChainQuestion question;
+  question.depths = {2, 8};
+  question.draws = 10;
+  question.leaf_failures = {1};
+  question.deadline = 100ms;
+  std::ostringstream out;
+  PrintChains(out, Of({2}), question);
+  const char* const rows[] = {"added, p99", "chains with a hop over 1 ms",
+                              "leaf attempts, leaf fails 1, no budget",
+                              "leaf attempts, bound of the mean, budget 0.1", "left of 100 ms"};
+  const char* const ends[] = {"4 16\n", "1 1\n", "9 6561\n", "1.210 2.144\n", "86 44\n"};
+  for (std::size_t i = 0; i < std::size(rows); ++i) {
+    const std::size_t start = out.str().find(rows[i]);
+    ASSERT_NE(start, std::string::npos) << rows[i] << " in\n" << out.str();
+    std::istringstream cells(out.str().substr(start, out.str().find('\n', start) - start));
+    std::string cell, last, before_last;
+    while (cells >> cell) {
+      before_last = last;
+      last = cell;
+    }
+    EXPECT_EQ(before_last + " " + last + "\n", ends[i]) << rows[i];
+  }
+}
+
 }  // namespace
 }  // namespace aspendyke::lab
