--- a/lab/chain.cpp
+++ b/lab/chain.cpp
@@ -79,10 +79,11 @@
   };
   const std::string budget = "budget " + FormatChoice(question.budget_per_hop);
   for (const double failure : question.leaf_failures) {
-    const std::string what = "leaf attempts, leaf fails " + FormatChoice(failure);
+    std::string what = "leaf attempts, leaf fails " + FormatChoice(failure);
     table.AddRow(what + ", no budget", "attempts/call",
                  [&](std::size_t depth) { return AttemptsWithoutBudget(chain_of(depth, failure)).expected; });
-    table.AddRow(what + ", " + budget, "attempts/call",
+    what.append(", ").append(budget);
+    table.AddRow(what, "attempts/call",
                  [&](std::size_t depth) { return AttemptsWithBudget(chain_of(depth, failure)).expected; });
   }
   table.AddRow("leaf attempts, most, no budget", "attempts/call",
