--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <chrono>
 #include <optional>
 #include <string>
