Wait until the node has stopped before the rest of the requests is sent

Signal(SIGSTOP) is back before the process has stopped, so that it could still read what the test wants it to find unread; Pause() waits for the stop. What is asserted stays.

--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1654,7 +1654,7 @@
   }
   ASSERT_TRUE(Eventually([&] { return node.descriptors() >= idle + 24; }));
   std::this_thread::sleep_for(milliseconds(200));  // to read them; where it has not, there is less to see
-  node.Signal(SIGSTOP);
+  node.Pause();
   Client next(node.port());
   ASSERT_TRUE(next.Send(text(99)));
   for (std::size_t i = 0; i < clients.size(); ++i) ASSERT_TRUE(clients[i]->Send(text(i).substr(20)));
