--- /dev/null
+++ b/lab/hollow_sidecar.h
@@ -0,0 +1,214 @@
+// A sidecar without sockets: the module itself, with its actions carried out on models of the network and the
+// upstreams as the real sidecar carries them out on sockets (node/sidecar.cpp, node/upstreams.cpp).
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "deployment.h"
+#include "kestrellb/balancer.h"
+#include "metrics.h"
+#include "network_model.h"
+#include "scheduler.h"
+#include "upstream_model.h"
+
+namespace aspendyke::lab {
+
+// The upstream machines by id, shared by all hollow sidecars. It outlives them.
+class UpstreamDirectory {
+ public:
+  // `model` has to outlive the directory. Ids are not used twice.
+  void Add(UpstreamModel& model);
+  // Its place, from 0 on in the order of adding; nothing for an unknown id.
+  std::optional<std::size_t> Find(const std::string& id) const;
+  UpstreamModel& model(std::size_t place) const { return *entries_[place].model; }
+  const Location& location(std::size_t place) const { return entries_[place].location; }
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct Entry {
+    UpstreamModel* model;
+    Location location;
+  };
+  std::vector<Entry> entries_;
+  std::unordered_map<std::string, std::size_t> places_;
+};
+
+// One try of a client.
+struct OfferedRequest {
+  kestrellb::ClassId request_class{};
+  Duration work{};       // on a core of speed 1
+  TimePoint deadline{};  // the client stops waiting
+  bool client_retry = false;
+};
+
+enum class AnswerKind {
+  kServed,
+  kRefused,  // nothing was done: trying again is harmless
+  kFailed,   // it may have taken effect
+  kLost,     // the sidecar was down, or was killed with the request in its hands
+};
+
+struct Answer {
+  AnswerKind kind = AnswerKind::kServed;
+  Duration retry_after{};  // of a refusal; zero: no advice
+};
+
+class HollowSidecar {
+ public:
+  using OnAnswer = std::function<void(const Answer&)>;
+  // The module asks for membership changes.
+  using OnSubscribe = std::function<void()>;
+
+  // Is down until Start(). All references have to outlive it, and `scheduler` must not run once it is gone.
+  // `counters` are added to.
+  HollowSidecar(const SidecarInstance& instance, kestrellb::Settings settings,
+                const UpstreamDirectory& upstreams, NetworkModel& network, Scheduler& scheduler,
+                TrafficCounters& counters, OnSubscribe on_subscribe);
+  ~HollowSidecar();
+  HollowSidecar(const HollowSidecar&) = delete;
+  HollowSidecar& operator=(const HollowSidecar&) = delete;
+
+  // A new process with that seed, and the list that it holds from before.
+  void Start(std::uint64_t seed, std::vector<kestrellb::UpstreamInfo> known);
+  // The process dies: the requests that it holds end as kLost, its connections are closed.
+  void Kill();
+  bool running() const { return balancer_ != nullptr; }
+
+  // `on_answer` is called once, by the deadline; kLost at once where the sidecar is down.
+  void Offer(const OfferedRequest& request, OnAnswer on_answer);
+  // What discovery tells. Ignored while the sidecar is down.
+  void Apply(kestrellb::MembershipUpdate update);
+
+  // Requests that the module has left without an answer by their deadline and its grace, and answers beyond
+  // the one: both are faults of the module, or of this class.
+  std::uint64_t lost() const;
+  std::size_t requests_open() const { return requests_.size(); }
+  std::size_t idle_connections() const { return idle_connections_; }
+  // Real time that the module has taken so far.
+  std::chrono::nanoseconds module_time() const { return module_time_; }
+  const SidecarInstance& instance() const { return instance_; }
+
+ private:
+  using ExchangeId = std::uint64_t;
+  using Timer = std::pair<TimePoint, std::uint64_t>;
+
+  // What is known of one upstream by the list.
+  struct Listed {
+    kestrellb::UpstreamState state = kestrellb::UpstreamState::kGone;
+    std::uint32_t generation = 0;  // grows as its connections are given up
+    std::optional<TimePoint> started{};
+  };
+  struct Connection {
+    std::uint64_t process = 0;  // of the upstream; 0 while that has not accepted it
+    std::uint32_t generation = 0;
+    TimePoint idle_since;
+    TimePoint usable_from;
+    std::optional<Duration> idle_for;  // before its present exchange; absent for a new one
+  };
+  enum class Phase { kConnecting, kWaiting };
+  // An attempt or a probe that is out.
+  struct Exchange {
+    std::size_t upstream = 0;
+    std::optional<kestrellb::RequestId> request;  // absent: a probe
+    kestrellb::AttemptId attempt{};
+    Duration work{};
+    Phase phase = Phase::kConnecting;
+    TimePoint sent;
+    TimePoint gives_up;
+    TimePoint begin_by;
+    bool wanted = true;  // by the request
+    Connection connection;
+    std::optional<UpstreamModel::CallId> call;
+  };
+  struct Pending {
+    Duration work{};
+    OnAnswer on_answer;  // empty once the request has its answer
+    std::vector<ExchangeId> attempts;
+    std::size_t out = 0;  // attempts that have not ended
+  };
+
+  void Deliver(kestrellb::Event event);
+  void Pump();
+  void ArmTimer();
+  void FireTimers();
+  void FollowList(const kestrellb::MembershipUpdate& update);
+  void FollowListed(std::size_t upstream, const kestrellb::UpstreamInfo& info);
+  void GiveUpConnections(std::size_t upstream);
+  void AbortUnsent(std::size_t upstream);
+
+  void Begin(ExchangeId id, Exchange exchange, Duration max_idle);
+  void OpenConnection(ExchangeId id, Exchange& exchange);
+  void ArriveToConnect(ExchangeId id, std::size_t upstream);
+  void Connected(ExchangeId id, ConnectResult result);
+  void Write(ExchangeId id, Exchange& exchange);
+  void ArriveToServe(ExchangeId id);
+  void Answered(ExchangeId id, ServeResult result, const kestrellb::LoadReport& load);
+  void EndExchange(ExchangeId id, kestrellb::Outcome outcome, bool keep_connection,
+                   const kestrellb::LoadReport& load = {});
+  void TellModule(const Exchange& exchange, kestrellb::Outcome outcome, const kestrellb::LoadReport& load);
+  void Count(const Exchange& exchange, kestrellb::Outcome outcome);
+  void SendBack(std::size_t upstream, std::function<void()> task);
+
+  std::optional<Connection> TakeIdle(std::size_t upstream, Duration max_idle);
+  bool LooksAlive(std::size_t upstream, const Connection& connection) const;
+  void Release(std::size_t upstream, Connection connection);
+  void Close(std::size_t upstream, const Connection& connection);
+  void CloseIdleOf(std::size_t upstream);
+  void ArmSweep();
+  void Sweep();
+
+  void AnswerClient(Pending& pending, const Answer& answer);
+  void ForgetIfDone(kestrellb::RequestId id);
+  void CountUnanswered(TimePoint now);
+
+  void CarryOut(const kestrellb::SendAttempt& action);
+  void CarryOut(const kestrellb::CancelAttempt& action);
+  void CarryOut(const kestrellb::Refuse& action);
+  void CarryOut(const kestrellb::Fail& action);
+  void CarryOut(const kestrellb::SetTimer& action);
+  void CarryOut(const kestrellb::SendProbe& action);
+  void CarryOut(const kestrellb::CloseIdle& action);
+  void CarryOut(const kestrellb::Subscribe& action);
+  void CarryOut(const kestrellb::Log&) {}
+
+  const SidecarInstance& instance_;
+  const kestrellb::Settings settings_;
+  const Location location_;
+  const Duration trusted_idle_;
+  const UpstreamDirectory& upstreams_;
+  NetworkModel& network_;
+  Scheduler& scheduler_;
+  TrafficCounters& counters_;
+  const OnSubscribe on_subscribe_;
+
+  std::unique_ptr<kestrellb::Balancer> balancer_;  // null while it is down
+  std::uint64_t process_ = 0;                      // what was scheduled by an earlier one is void
+  std::deque<kestrellb::Event> events_;
+  std::vector<kestrellb::Action> actions_;
+  bool delivering_ = false;
+  std::unordered_map<kestrellb::RequestId, Pending> requests_;
+  std::deque<std::pair<TimePoint, kestrellb::RequestId>> answer_by_;  // about in order of time
+  std::unordered_map<ExchangeId, Exchange> exchanges_;
+  std::uint64_t last_request_ = 0;
+  ExchangeId last_exchange_ = 0;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  TimePoint armed_for_ = TimePoint::max();
+  std::vector<Listed> listed_;                                     // by the upstream's place
+  std::unordered_map<std::size_t, std::vector<Connection>> idle_;  // the most recently used one last
+  std::size_t idle_connections_ = 0;
+  bool sweeping_ = false;
+  std::uint64_t lost_ = 0;
+  std::chrono::nanoseconds module_time_{};
+};
+
+}  // namespace aspendyke::lab
--- a/lab/scheduler.h
+++ b/lab/scheduler.h
@@ -5,7 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
-#include <queue>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -16,7 +16,8 @@
 using kestrellb::Duration;
 using kestrellb::TimePoint;
 
-// Not thread-safe: one thread owns a scheduler and all that is scheduled on it.
+// Not thread-safe: one thread owns a scheduler and all that is scheduled on it. What a task refers to has to
+// outlive the task, or the scheduler must not be run any more.
 class Scheduler {
  public:
   using Task = std::function<void()>;
@@ -28,6 +29,26 @@
   void After(Duration wait, Task task) { At(Now() + wait, std::move(task)); }
 };
 
+// Tasks by time, those of the same time in the order of their adding.
+class TaskQueue {
+ public:
+  void Add(TimePoint when, Scheduler::Task task);
+  bool empty() const { return heap_.empty(); }
+  TimePoint next() const { return heap_.front().when; }  // of a queue that is not empty
+  Scheduler::Task Take();                                // the next one; likewise
+
+ private:
+  struct Entry {
+    TimePoint when;
+    std::uint64_t order;
+    Scheduler::Task task;
+  };
+  static bool Later(const Entry& a, const Entry& b);
+
+  std::vector<Entry> heap_;
+  std::uint64_t order_ = 0;
+};
+
 // Discrete events: time jumps from one task to the next.
 class VirtualScheduler : public Scheduler {
  public:
@@ -38,14 +59,8 @@
   std::uint64_t tasks_run() const { return tasks_run_; }
 
  private:
-  struct Entry {
-    TimePoint when;
-    std::uint64_t order;
-    Task task;
-  };
-  std::vector<Entry> heap_;
+  TaskQueue tasks_;
   TimePoint now_{std::chrono::seconds(1000)};
-  std::uint64_t order_ = 0;
   std::uint64_t tasks_run_ = 0;
 };
 
@@ -58,16 +73,11 @@
 
  private:
   void Arm();
+  void RunDue();
 
-  struct Entry {
-    TimePoint when;
-    std::uint64_t order;
-    Task task;
-  };
-  std::vector<Entry> heap_;
+  TaskQueue tasks_;
   boost::asio::steady_timer timer_;
-  TimePoint armed_for_ = TimePoint::max();
-  std::uint64_t order_ = 0;
+  std::optional<TimePoint> armed_for_;
 };
 
 }  // namespace aspendyke::lab
