--- a/lab/scheduler.cpp
+++ b/lab/scheduler.cpp
@@ -1,24 +1,27 @@
 #include "scheduler.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace aspendyke::lab {
 
-bool TaskQueue::Later(const Entry& a, const Entry& b) {
-  return std::tie(a.when, a.order) > std::tie(b.when, b.order);
-}
-
 void TaskQueue::Add(TimePoint when, Scheduler::Task task) {
-  heap_.push_back({when, order_++, std::move(task)});
-  std::push_heap(heap_.begin(), heap_.end(), Later);
+  if (free_slots_.empty()) {
+    free_slots_.push_back(tasks_.size());
+    tasks_.emplace_back();
+  }
+  const std::size_t slot = free_slots_.back();
+  free_slots_.pop_back();
+  tasks_[slot] = std::move(task);
+  heap_.push_back({when, order_++, slot});
+  std::push_heap(heap_.begin(), heap_.end(), Later());
 }
 
 Scheduler::Task TaskQueue::Take() {
-  std::pop_heap(heap_.begin(), heap_.end(), Later);
-  Scheduler::Task task = std::move(heap_.back().task);
+  std::pop_heap(heap_.begin(), heap_.end(), Later());
+  const std::size_t slot = heap_.back().slot;
   heap_.pop_back();
-  return task;
+  free_slots_.push_back(slot);
+  return std::exchange(tasks_[slot], nullptr);
 }
 
 void VirtualScheduler::At(TimePoint when, Task task) { tasks_.Add(std::max(when, now_), std::move(task)); }
--- a/lab/scheduler.h
+++ b/lab/scheduler.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -29,7 +30,8 @@
   void After(Duration wait, Task task) { At(Now() + wait, std::move(task)); }
 };
 
-// Tasks by time, those of the same time in the order of their adding.
+// Tasks by time, those of the same time in the order of their adding. The heap holds small keys only: a run
+// has tens of thousands of tasks waiting.
 class TaskQueue {
  public:
   void Add(TimePoint when, Scheduler::Task task);
@@ -38,14 +40,20 @@
   Scheduler::Task Take();                                // the next one; likewise
 
  private:
-  struct Entry {
+  struct Key {
     TimePoint when;
-    std::uint64_t order;
-    Scheduler::Task task;
+    std::uint64_t order = 0;
+    std::size_t slot = 0;  // index into tasks_
+  };
+  struct Later {
+    bool operator()(const Key& a, const Key& b) const {
+      return a.when != b.when ? a.when > b.when : a.order > b.order;
+    }
   };
-  static bool Later(const Entry& a, const Entry& b);
 
-  std::vector<Entry> heap_;
+  std::vector<Key> heap_;
+  std::vector<Scheduler::Task> tasks_;
+  std::vector<std::size_t> free_slots_;
   std::uint64_t order_ = 0;
 };
 
