Test restarts, drains and vanished machines at hollow sidecars

Mutants of the models showed what no test saw: a connection kept from an earlier process, what was unsent at a drain, a late notice that held up nobody, and the classes' shares.

--- a/tests/lab_models_test.cpp
+++ b/tests/lab_models_test.cpp
@@ -406,6 +406,22 @@
   EXPECT_EQ(rig.clients.open(), 0u);
 }
 
+TEST(ClientModel, ClassesComeByTheirShares) {
+  Experiment experiment = SmallExperiment();
+  ClassSpec other = experiment.classes[0];
+  other.name = "list";
+  other.share = 3;
+  experiment.classes.push_back(other);
+  std::map<kestrellb::ClassId, int> offered;
+  ClientRig rig(experiment, 50, [&](std::size_t, const OfferedRequest& request, const auto& answer) {
+    ++offered[request.request_class];
+    answer({AnswerKind::kServed, {}});
+  });
+  rig.Play(seconds(100));
+  const double first = offered[kestrellb::ClassId{0}], second = offered[kestrellb::ClassId{1}];
+  EXPECT_NEAR(first / (first + second), 0.25, 0.02);
+}
+
 TEST(ClientModel, ARefusalIsRepeatedAfterItsAdviceAndCountsForTheFirstTry) {
   Experiment experiment = SmallExperiment();
   experiment.clients.retries = 2;
@@ -504,6 +520,18 @@
   EXPECT_GT(rig.Longest(), milliseconds(1000));
 }
 
+TEST(MembershipNotices, ALateNoticeHoldsUpThoseBehindIt) {
+  NoticesRig rig(SmallExperiment());
+  rig.notices.SetDelayFactor(10);
+  rig.Change(0, 2);
+  rig.notices.SetDelayFactor(1);
+  rig.Change(1, 3);
+  rig.Run(milliseconds(990));
+  EXPECT_TRUE(rig.told.empty());
+  rig.Run(seconds(10));
+  EXPECT_EQ(rig.told.size(), 20u);
+}
+
 TEST(MembershipNotices, ASilentWatchIsMadeUpForAfterSixSeconds) {
   NoticesRig rig(SmallExperiment());
   rig.notices.SilenceWatches();
@@ -708,6 +736,50 @@
   EXPECT_EQ(rig.Count(AnswerKind::kServed), 40u);
 }
 
+TEST(HollowSidecar, AConnectionToAnEarlierProcessIsNotKept) {
+  for (const bool restarted : {false, true}) {
+    SidecarRig rig(SmallExperiment(), 1, 1);
+    rig.Offer(0, milliseconds(100), milliseconds(500));
+    rig.Run(milliseconds(50));
+    rig.Tell(0, UpstreamState::kServing, restarted ? std::optional(rig.scheduler.Now()) : std::nullopt);
+    rig.Run(milliseconds(100));
+    EXPECT_EQ(rig.Count(AnswerKind::kServed), 1u);
+    EXPECT_EQ(rig.sidecars[0]->idle_connections(), restarted ? 0u : 1u);
+    EXPECT_EQ(rig.upstreams[0]->connections(), restarted ? 0u : 1u);
+  }
+}
+
+TEST(HollowSidecar, WhatHasNotBegunToBeWrittenIsNotSentToOneThatDrains) {
+  Experiment experiment = SmallExperiment();
+  experiment.upstreams.handshake_work = milliseconds(100);
+  SidecarRig rig(experiment, 1, 1);
+  rig.Offer(0, milliseconds(5), milliseconds(500));
+  rig.Run(milliseconds(50));
+  rig.Tell(0, UpstreamState::kDraining, {});
+  EXPECT_EQ(rig.Count(AnswerKind::kRefused), 1u);
+  rig.Run(seconds(1));
+  EXPECT_EQ(rig.counters.attempts, 0u);
+  EXPECT_EQ(rig.upstreams[0]->connections(), 0u);
+}
+
+TEST(HollowSidecar, HearsOfADeadProcessUnlessItsMachineHadVanished) {
+  for (const bool vanished : {false, true}) {
+    Experiment experiment = SmallExperiment();
+    experiment.classes[0].effect = kestrellb::Effect::kUnsafe;
+    SidecarRig rig(experiment, 1, 1);
+    rig.Offer(0, milliseconds(5), milliseconds(500));
+    rig.Run(milliseconds(100));
+    rig.upstreams[0]->SetSilent(vanished);
+    rig.upstreams[0]->Crash();
+    rig.upstreams[0]->SetSilent(false);
+    rig.upstreams[0]->Start();
+    rig.Offer(0, milliseconds(5), milliseconds(500));
+    rig.Run(milliseconds(100));
+    EXPECT_EQ(rig.Count(AnswerKind::kServed), vanished ? 1u : 2u);
+    EXPECT_EQ(rig.Count(AnswerKind::kFailed), vanished ? 1u : 0u);  // reset at its use
+  }
+}
+
 // Strikes one upstream or sidecar, or mends it.
 void StrikeAtRandom(SidecarRig& rig, std::mt19937_64& random) {
   const std::size_t place = random() % rig.upstreams.size();
