--- a/lab/hollow_sidecar.cpp
+++ b/lab/hollow_sidecar.cpp
@@ -131,12 +131,10 @@
   if (!running()) return;
   {
     const Busy busy(delivering_);
-    if (update.kind != MembershipUpdate::Kind::kFailed) {
-      events_.emplace_back(update);
-      FollowList(update);
-    } else {
-      events_.emplace_back(std::move(update));
-    }
+    events_.emplace_back(std::move(update));
+    // Events that are queued meanwhile leave this one in its place.
+    const auto& told = std::get<MembershipUpdate>(events_.back());
+    if (told.kind != MembershipUpdate::Kind::kFailed) FollowList(told);
   }
   Pump();
 }
--- a/lab/virtual_engine.cpp
+++ b/lab/virtual_engine.cpp
@@ -252,6 +252,8 @@
   }
 }
 
+// Discovery tells nothing of a crash or a lost zone: only the new process is a change. A lost zone takes its
+// upstreams away; the sidecars in it go on.
 void VirtualRun::BeginFault(const FaultEvent& fault) {
   switch (fault.kind) {
     case FaultKind::kCrash:
