--- a/tests/lab_models_test.cpp
+++ b/tests/lab_models_test.cpp
@@ -780,6 +780,37 @@
   }
 }
 
+TEST(HollowSidecar, RunsOnTheMachinesClockAsWell) {
+  const Experiment experiment = SmallExperiment();
+  const Deployment deployment = MakeSmall(experiment, 1, 1, 1);
+  boost::asio::io_context io;
+  RealScheduler scheduler(io);
+  NetworkModel network(experiment.network, 1);
+  TrafficCounters counters;
+  UpstreamModel upstream(deployment.upstreams[0], experiment.upstreams, scheduler);
+  UpstreamDirectory directory;
+  directory.Add(upstream);
+  HollowSidecar sidecar(deployment.sidecars[0],
+                        SidecarSettings(experiment, deployment, deployment.sidecars[0]), directory, network,
+                        scheduler, counters, nullptr);
+  UpstreamInfo info;
+  info.id = {deployment.upstreams[0].id};
+  sidecar.Start(1, {info});
+  int answers = 0, served = 0;
+  for (int i = 0; i < 5; ++i) {
+    const OfferedRequest request{kestrellb::ClassId{0}, milliseconds(1), scheduler.Now() + seconds(10),
+                                 false};
+    sidecar.Offer(request, [&](const Answer& answer) {
+      ++answers;
+      served += answer.kind == AnswerKind::kServed;
+    });
+  }
+  EXPECT_EQ(answers, 0);
+  while (answers < 5) io.run_one();
+  EXPECT_EQ(served, 5);
+  EXPECT_EQ(upstream.served(), 5u);
+}
+
 // Strikes one upstream or sidecar, or mends it.
 void StrikeAtRandom(SidecarRig& rig, std::mt19937_64& random) {
   const std::size_t place = random() % rig.upstreams.size();
