--- /dev/null
+++ b/lab/cpu_clock.h
@@ -0,0 +1,14 @@
+// What the lab itself uses of the machine, and what the machine has.
+#pragma once
+
+#include <cstddef>
+
+namespace aspendyke::lab {
+
+double ThreadCpuSeconds();     // of the calling thread
+double ProcessCpuSeconds();    // of this process, all threads
+double ResidentMemoryMb();     // of this process
+double MachineMemoryMb();      // in all
+std::size_t ChildProcesses();  // of this process, ended ones that nobody has waited for included
+
+}  // namespace aspendyke::lab
--- /dev/null
+++ b/lab/http_load.h
@@ -0,0 +1,58 @@
+// The applications next to real sidecars: requests at random times (a Poisson process for each sidecar),
+// however long the answers take, with the clients' retries and deadlines.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "experiment.h"
+#include "metrics.h"
+#include "scheduler.h"
+
+namespace aspendyke::lab {
+
+// The application of one sidecar.
+struct LoadTarget {
+  boost::asio::ip::tcp::endpoint sidecar;
+  double requests_per_s = 0;
+};
+
+// What ended since the last look. A request counts when its last try has ended: `traffic.requests` is the sum
+// of in_time, late, refused and failed. Of `traffic`, only these and client_retries are filled.
+struct LoadWindow {
+  TrafficCounters traffic;
+  std::uint64_t unanswered = 0;  // of the failed, those that last heard nothing before the client gave up
+  Distribution latency_ms;       // of served requests, from the first try's start
+  // Of requests served at their first try: the latency without what the answer's upstream took
+  // (X-Service-Us).
+  Distribution added_ms;
+};
+
+// All on the thread of one io_context: every call has to be made there, or while it does not run.
+class HttpLoad {
+ public:
+  // `scheduler`, which has to go by the same io_context, `clients` and `classes` have to outlive it.
+  HttpLoad(boost::asio::io_context& io, Scheduler& scheduler, const ClientSpec& clients,
+           const std::vector<ClassSpec>& classes, std::vector<LoadTarget> targets, std::uint64_t seed);
+  ~HttpLoad();
+
+  void Start();
+  // No new requests; those under way go on.
+  void Stop();
+  // Of all rates, from now on; 1 at the start.
+  void SetFactor(double factor);
+  LoadWindow Take();
+  std::uint64_t begun() const;      // requests, since the start
+  std::size_t under_way() const;    // requests that have not ended
+  std::size_t connections() const;  // open
+
+ private:
+  class Implementation;
+  std::shared_ptr<Implementation> implementation_;
+};
+
+}  // namespace aspendyke::lab
