--- a/lab/http_upstream.h
+++ b/lab/http_upstream.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -46,7 +47,8 @@
 class HttpUpstreams {
  public:
   // Listens for all of them at once. `deployment`, `spec` and `scheduler`, which has to go by the same
-  // io_context, have to outlive it. Throws boost::system::system_error where it can't listen.
+  // io_context, have to outlive it, and it has to outlive the last run of the io_context. Throws
+  // boost::system::system_error where it can't listen.
   HttpUpstreams(boost::asio::io_context& io, Scheduler& scheduler, const Deployment& deployment,
                 const UpstreamSpec& spec, HttpUpstreamOptions options);
   ~HttpUpstreams();
@@ -76,6 +78,10 @@
  private:
   class Server;
   class Connection;
+  void SweepIdle();
+
+  const UpstreamSpec& spec_;
+  boost::asio::steady_timer sweep_timer_;
   std::vector<std::unique_ptr<Server>> servers_;
 };
 
--- /dev/null
+++ b/lab/process.cpp
@@ -0,0 +1,285 @@
+#include "process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <system_error>
+#include <thread>
+#include <utility>
+
+extern char** environ;
+
+namespace aspendyke::lab {
+namespace {
+
+constexpr auto kPollEvery = std::chrono::milliseconds(2);
+constexpr int kFailurePipe = 3;  // of the child: the first descriptor behind the standard ones
+constexpr double kKilobytesPerMegabyte = 1024;
+
+std::system_error SystemError(const std::string& what) {
+  return std::system_error(errno, std::generic_category(), what);
+}
+
+class Descriptor {
+ public:
+  explicit Descriptor(int number) : number_(number) {}
+  ~Descriptor() { Close(); }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  int number() const { return number_; }
+  void Close() {
+    if (number_ >= 0) ::close(std::exchange(number_, -1));
+  }
+
+ private:
+  int number_;
+};
+
+// The lab's environment, with `additions` in place of those of the same name.
+std::vector<std::string> MergedEnvironment(const std::map<std::string, std::string>& additions) {
+  std::vector<std::string> merged;
+  for (char** entry = environ; *entry != nullptr; ++entry) {
+    const std::string text = *entry;
+    if (!additions.contains(text.substr(0, text.find('=')))) merged.push_back(text);
+  }
+  for (const auto& [name, value] : additions) merged.push_back(name + "=" + value);
+  return merged;
+}
+
+std::vector<char*> Pointers(std::vector<std::string>& texts) {
+  std::vector<char*> pointers;
+  for (std::string& text : texts) pointers.push_back(text.data());
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
+// What the child needs, made ready before the fork: behind it nothing may be allocated, as another thread may
+// have held the allocator's lock.
+struct ChildPlan {
+  const char* program;
+  char* const* arguments;
+  char* const* environment;
+  const char* folder;  // null: the lab's
+  int output;
+  int failure_pipe;
+  pid_t parent;
+};
+
+// The child's part. Returns only where it failed.
+void BecomeProgram(const ChildPlan& plan) {
+  ::setpgid(0, 0);
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (::getppid() != plan.parent) ::_exit(1);  // the lab ended before it could be watched
+  if (plan.folder != nullptr && ::chdir(plan.folder) != 0) return;
+  const int input = ::open("/dev/null", O_RDONLY);
+  if (input < 0 || ::dup2(input, STDIN_FILENO) < 0) return;
+  if (::dup2(plan.output, STDOUT_FILENO) < 0 || ::dup2(plan.output, STDERR_FILENO) < 0) return;
+  // Sockets of the lab would live on in the child, and what they listen for would be taken.
+  ::close_range(kFailurePipe + 1, ~0U, 0);
+  ::signal(SIGPIPE, SIG_DFL);
+  sigset_t none;
+  ::sigemptyset(&none);
+  ::sigprocmask(SIG_SETMASK, &none, nullptr);
+  ::execve(plan.program, plan.arguments, plan.environment);
+}
+
+// Tells the parent why, in the one way that it listens to.
+[[noreturn]] void RunChild(ChildPlan plan) {
+  // The pipe moves to a known place, out of the way of the standard descriptors.
+  const int output = ::fcntl(plan.output, F_DUPFD_CLOEXEC, kFailurePipe + 1);
+  const int pipe = ::fcntl(plan.failure_pipe, F_DUPFD_CLOEXEC, kFailurePipe + 1);
+  if (output >= 0 && pipe >= 0 && ::dup3(pipe, kFailurePipe, O_CLOEXEC) == kFailurePipe) {
+    plan.output = output;
+    BecomeProgram(plan);
+    const int error = errno;
+    [[maybe_unused]] const ssize_t written = ::write(kFailurePipe, &error, sizeof error);
+  }
+  ::_exit(127);
+}
+
+ExitStatus ToExitStatus(int status) {
+  if (WIFEXITED(status)) return {WEXITSTATUS(status), 0};
+  return {0, WTERMSIG(status)};
+}
+
+std::string ProcFile(pid_t pid, const char* name) { return "/proc/" + std::to_string(pid) + "/" + name; }
+
+// utime and stime: fields 14 and 15 of proc(5)'s stat. The second may hold spaces, up to its last bracket.
+std::optional<double> CpuSeconds(pid_t pid) {
+  std::ifstream stream(ProcFile(pid, "stat"));
+  std::string text;
+  if (!std::getline(stream, text)) return std::nullopt;
+  const auto name_end = text.rfind(')');
+  if (name_end == std::string::npos) return std::nullopt;
+  std::istringstream fields(text.substr(name_end + 1));
+  std::string skipped;
+  for (int field = 3; field <= 13; ++field) fields >> skipped;
+  std::uint64_t user = 0, system = 0;
+  if (!(fields >> user >> system)) return std::nullopt;
+  return static_cast<double>(user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+std::optional<double> ProportionalMemoryMb(pid_t pid) {
+  std::ifstream stream(ProcFile(pid, "smaps_rollup"));
+  std::string line;
+  while (std::getline(stream, line)) {
+    std::istringstream fields(line);
+    std::string name;
+    double kilobytes = 0;
+    if (fields >> name >> kilobytes && name == "Pss:") return kilobytes / kKilobytesPerMegabyte;
+  }
+  return std::nullopt;
+}
+
+std::optional<double> ResidentMemoryOfMb(pid_t pid) {
+  std::ifstream stream(ProcFile(pid, "statm"));
+  std::uint64_t size = 0, resident = 0;
+  if (!(stream >> size >> resident)) return std::nullopt;
+  const auto page = static_cast<double>(::sysconf(_SC_PAGESIZE));
+  return static_cast<double>(resident) * page / (kKilobytesPerMegabyte * kKilobytesPerMegabyte);
+}
+
+std::optional<std::size_t> OpenDescriptors(pid_t pid) {
+  std::error_code error;
+  std::filesystem::directory_iterator entries(ProcFile(pid, "fd"), error);
+  if (error) return std::nullopt;
+  std::size_t count = 0;
+  for (const std::filesystem::directory_iterator end; entries != end && !error; entries.increment(error)) {
+    ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+Process::Process(const ProcessOptions& options) : log_file_(options.log_file) {
+  // Taken against the lab's folder, not the one it works in.
+  std::string program = std::filesystem::absolute(options.program).string();
+  std::vector<std::string> argument_texts = {program};
+  argument_texts.insert(argument_texts.end(), options.arguments.begin(), options.arguments.end());
+  std::vector<std::string> environment_texts = MergedEnvironment(options.environment);
+  const std::vector<char*> arguments = Pointers(argument_texts);
+  const std::vector<char*> environment = Pointers(environment_texts);
+
+  const std::string log = log_file_.empty() ? "/dev/null" : log_file_;
+  const Descriptor output(::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644));
+  if (output.number() < 0) throw SystemError("cannot open " + log);
+  int ends[2];
+  if (::pipe2(ends, O_CLOEXEC) != 0) throw SystemError("pipe2");
+  const Descriptor read_end(ends[0]);
+  Descriptor write_end(ends[1]);
+
+  const ChildPlan plan = {program.c_str(),    arguments.data(),
+                          environment.data(), options.folder.empty() ? nullptr : options.folder.c_str(),
+                          output.number(),    write_end.number(),
+                          ::getpid()};
+  pid_ = ::fork();
+  if (pid_ < 0) throw SystemError("fork");
+  if (pid_ == 0) RunChild(plan);
+  write_end.Close();
+  // Ends without a byte once the program runs, as the pipe's other end is closed by then.
+  int error = 0;
+  ssize_t size = 0;
+  do {
+    size = ::read(read_end.number(), &error, sizeof error);
+  } while (size < 0 && errno == EINTR);
+  if (size == sizeof error) {
+    ::waitpid(pid_, nullptr, 0);
+    throw std::system_error(error, std::generic_category(), "cannot start " + program);
+  }
+}
+
+Process::~Process() {
+  if (pid_ > 0) Kill();
+}
+
+Process::Process(Process&& other) noexcept
+    : pid_(std::exchange(other.pid_, -1)),
+      log_file_(std::move(other.log_file_)),
+      status_(std::exchange(other.status_, std::nullopt)) {}
+
+Process& Process::operator=(Process&& other) noexcept {
+  if (this == &other) return *this;
+  if (pid_ > 0) Kill();
+  pid_ = std::exchange(other.pid_, -1);
+  log_file_ = std::move(other.log_file_);
+  status_ = std::exchange(other.status_, std::nullopt);
+  return *this;
+}
+
+std::optional<ExitStatus> Process::Poll() {
+  if (status_ || pid_ <= 0) return status_;
+  siginfo_t info{};
+  // It is left to be waited for, so that the number of its group can't be given to another yet.
+  if (::waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) != 0) return std::nullopt;
+  if (info.si_pid == 0) return std::nullopt;
+  EndGroup();
+  return status_;
+}
+
+void Process::EndGroup() {
+  if (pid_ <= 0) throw std::logic_error("the process was moved away");
+  ::kill(-pid_, SIGKILL);
+  int status = 0;
+  while (::waitpid(pid_, &status, 0) < 0 && errno == EINTR) {
+  }
+  status_ = ToExitStatus(status);
+}
+
+void Process::Signal(int number) {
+  if (pid_ > 0 && !Poll()) ::kill(pid_, number);
+}
+
+ExitStatus Process::Wait() {
+  if (pid_ <= 0) throw std::logic_error("the process was moved away");
+  while (!Poll()) std::this_thread::sleep_for(kPollEvery);
+  return *status_;
+}
+
+std::optional<ExitStatus> Process::WaitFor(Duration patience) {
+  const auto end = std::chrono::steady_clock::now() + patience;
+  while (!Poll() && std::chrono::steady_clock::now() < end) std::this_thread::sleep_for(kPollEvery);
+  return status_;
+}
+
+ExitStatus Process::Stop(Duration patience) {
+  Signal(SIGTERM);
+  if (WaitFor(patience)) return *status_;
+  return Kill();
+}
+
+ExitStatus Process::Kill() {
+  if (!Poll()) EndGroup();
+  return *status_;
+}
+
+std::optional<ProcessUsage> Process::Usage() {
+  if (pid_ <= 0 || Poll()) return std::nullopt;
+  const auto cpu_s = CpuSeconds(pid_);
+  auto memory_mb = ProportionalMemoryMb(pid_);
+  if (!memory_mb) memory_mb = ResidentMemoryOfMb(pid_);
+  const auto descriptors = OpenDescriptors(pid_);
+  if (!cpu_s || !memory_mb || !descriptors) return std::nullopt;
+  return ProcessUsage{*cpu_s, *memory_mb, *descriptors};
+}
+
+std::string Process::Log() const {
+  if (log_file_.empty()) return {};
+  std::ifstream stream(log_file_);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+}  // namespace aspendyke::lab
--- /dev/null
+++ b/lab/socket_state.h
@@ -0,0 +1,32 @@
+// What is known of a connection without reading from it.
+#pragma once
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cerrno>
+
+namespace aspendyke::lab {
+
+enum class SocketState {
+  kQuiet,  // open, and nothing to read
+  kData,   // something to read
+  kEnded,  // the peer has ended its sending, or the connection broke
+};
+
+inline SocketState LookAt(boost::asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (size > 0) return SocketState::kData;
+  const bool quiet = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  return quiet ? SocketState::kQuiet : SocketState::kEnded;
+}
+
+// Closes with a reset instead of an end in good order.
+inline void ResetConnection(boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+}  // namespace aspendyke::lab
