--- a/lab/http_upstream.cpp
+++ b/lab/http_upstream.cpp
@@ -224,15 +224,12 @@
     if (is_probe_) return Probe();
     if (server_->options.answer_at_once) return OnServed(ServeResult::kServed);
     const Duration work = ParseWork(parser_->get()[kWorkHeader]);
-    answered_in_call_ = false;
-    const auto call = server_->model.Serve(work, [weak = weak_from_this()](ServeResult result) {
+    call_ = server_->model.Serve(work, [weak = weak_from_this()](ServeResult result) {
       const auto self = weak.lock();
       if (!self || self->closed_) return;
-      self->answered_in_call_ = true;
       self->call_.reset();
       self->OnServed(result);
     });
-    if (!answered_in_call_ && !closed_) call_ = call;
   }
 
   void OnServed(ServeResult result) {
@@ -310,7 +307,6 @@
   bool closed_ = false;
   bool watching_ = false;
   bool is_probe_ = false;
-  bool answered_in_call_ = false;
   std::size_t request_bytes_ = 0;
   std::optional<UpstreamModel::CallId> call_;
   TimePoint arrived_;
