Reserve a real sidecar's port over its restarts

While a killed sidecar was away its port was the system's to give to any connection of the lab, and its restart would have failed. The port is bound for the whole run now, as an upstream's was; the test that takes it meanwhile is refused.

--- a/lab/http_load.cpp
+++ b/lab/http_load.cpp
@@ -33,6 +33,7 @@
 
 constexpr char kBody[] = "an order of two items";  // of every request that has one
 constexpr Duration kLeastTimeout = milliseconds(1);
+constexpr double kLeastVariance = 1e-12;  // what does not vary is drawn all the same
 
 double ToMilliseconds(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -49,7 +50,8 @@
 std::lognormal_distribution<double> WorkDistribution(const ClassSpec& spec) {
   const double variance = std::log1p(spec.work_variation * spec.work_variation);
   const double mean = static_cast<double>(std::max<std::int64_t>(spec.mean_work.count(), 1));
-  return std::lognormal_distribution<double>(std::log(mean) - variance / 2, std::sqrt(variance));
+  return std::lognormal_distribution<double>(std::log(mean) - variance / 2,
+                                             std::sqrt(std::max(variance, kLeastVariance)));
 }
 
 enum class TryOutcome {
--- a/lab/http_upstream.cpp
+++ b/lab/http_upstream.cpp
@@ -14,6 +14,7 @@
 #include <sstream>
 #include <utility>
 
+#include "port_reservation.h"
 #include "socket_state.h"
 
 namespace aspendyke::lab {
@@ -70,13 +71,6 @@
   return Duration(std::max<std::int64_t>(microseconds, 0));
 }
 
-tcp::socket BoundSocket(boost::asio::io_context& io, const tcp::endpoint& endpoint) {
-  tcp::socket socket(io, tcp::v4());
-  socket.set_option(boost::asio::socket_base::reuse_address(true));
-  socket.bind(endpoint);
-  return socket;
-}
-
 }  // namespace
 
 // One listening address and the model behind it.
@@ -98,7 +92,7 @@
   const HttpUpstreamOptions options;
   HttpUpstreamCounters counters;
   bool silent() const { return silent_; }
-  const tcp::endpoint& endpoint() const { return endpoint_; }
+  const tcp::endpoint& endpoint() const { return port_.endpoint(); }
   std::size_t open_connections() const { return connections_.size(); }
 
  private:
@@ -109,9 +103,7 @@
   void ResetLeftBehind();
 
   boost::asio::io_context& io_;
-  // Bound, but never listening: keeps the port while no process listens there.
-  tcp::socket reservation_;
-  tcp::endpoint endpoint_;
+  const PortReservation port_;
   tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_timer_;
   std::set<std::shared_ptr<Connection>> connections_;
@@ -320,8 +312,7 @@
       model(instance, spec, scheduler_),
       options(options_),
       io_(io),
-      reservation_(BoundSocket(io, {boost::asio::ip::address_v4::loopback(), 0})),
-      endpoint_(reservation_.local_endpoint()),
+      port_({boost::asio::ip::address_v4::loopback(), 0}),
       acceptor_(io),
       accept_timer_(io) {
   Listen();
@@ -337,7 +328,7 @@
 void HttpUpstreams::Server::Listen() {
   acceptor_.open(tcp::v4());
   acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
-  acceptor_.bind(endpoint_);
+  acceptor_.bind(endpoint());
   acceptor_.listen(kBacklog);
   Accept();
 }
@@ -434,7 +425,7 @@
   filler.native_non_blocking(true, ignored);
   // Not through Asio, which would wait for it.
   [[maybe_unused]] const int begun =
-      ::connect(filler.native_handle(), endpoint_.data(), static_cast<socklen_t>(endpoint_.size()));
+      ::connect(filler.native_handle(), endpoint().data(), static_cast<socklen_t>(endpoint().size()));
 }
 
 void HttpUpstreams::Server::ResetLeftBehind() {
--- a/lab/sidecar_config.cpp
+++ b/lab/sidecar_config.cpp
@@ -114,6 +114,12 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+tcp::endpoint ToEndpoint(const std::string& text) {
+  const auto endpoint = mothrack::ParseEndpoint(text);
+  if (!endpoint) throw std::invalid_argument("no address and port: " + text);
+  return *endpoint;
+}
+
 // One call of GET /up; 0 where nothing comes back.
 unsigned AskUp(const tcp::endpoint& listen) {
   boost::asio::io_context io;
@@ -192,7 +198,10 @@
     : program_(std::move(program)),
       config_path_(folder + "/" + config.name + ".json"),
       log_path_(folder + "/" + config.name + ".log"),
-      config_(std::move(config)) {}
+      config_(std::move(config)),
+      port_(ToEndpoint(config_.listen)) {
+  config_.listen = ToText(port_.endpoint());
+}
 
 void SidecarProcess::Start() {
   process_.reset();
@@ -206,7 +215,7 @@
   AwaitListening();
 }
 
-bool SidecarProcess::AwaitReady(Duration patience) { return IsReady(listen_, patience); }
+bool SidecarProcess::AwaitReady(Duration patience) { return IsReady(listen(), patience); }
 
 Process& SidecarProcess::process() {
   if (!process_) throw std::logic_error("sidecar " + config_.name + " was not started");
@@ -220,22 +229,13 @@
   if (!stream) throw std::runtime_error("cannot write " + config_path_);
 }
 
-// Its log's first line names the address that it got.
+// Its log says so.
 void SidecarProcess::AwaitListening() {
   const auto end = std::chrono::steady_clock::now() + kStartPatience;
   while (true) {
     const bool running = process_->Running();
     const std::string log = process_->Log();
-    const auto mark = log.find(kListeningMark);
-    const auto line_end = mark == std::string::npos ? mark : log.find('\n', mark);
-    if (line_end != std::string::npos) {
-      const auto start = mark + sizeof kListeningMark - 1;
-      const auto endpoint = mothrack::ParseEndpoint(log.substr(start, line_end - start));
-      if (!endpoint) throw std::runtime_error("sidecar " + config_.name + " names no address");
-      listen_ = *endpoint;
-      config_.listen = ToText(listen_);
-      return;
-    }
+    if (running && log.find(kListeningMark + config_.listen) != std::string::npos) return;
     if (!running || std::chrono::steady_clock::now() >= end) {
       throw std::runtime_error("sidecar " + config_.name + " does not listen: " +
                                log.substr(log.size() - std::min(log.size(), kLogShown)));
--- a/lab/sidecar_config.h
+++ b/lab/sidecar_config.h
@@ -10,6 +10,7 @@
 
 #include "kestrellb/balancer.h"
 #include "nlohmann/json.hpp"
+#include "port_reservation.h"
 #include "process.h"
 
 namespace aspendyke::lab {
@@ -38,11 +39,13 @@
 // Whether `GET /up` at that address answers 200 within that time. Blocks.
 bool IsReady(const boost::asio::ip::tcp::endpoint& listen, Duration patience);
 
-// A real sidecar, which keeps its name and address over restarts. For one thread, which has to outlive it.
+// A real sidecar, which keeps its name and address over restarts: the port is reserved while it does not run.
+// For one thread, which has to outlive it.
 class SidecarProcess {
  public:
   // `program` is the sidecar's; its configuration and log are kept in `folder`, which has to exist, under its
-  // name.
+  // name. Throws std::invalid_argument where `config.listen` is no address and port, and std::system_error
+  // where that can't be had.
   SidecarProcess(std::string program, std::string folder, SidecarConfig config);
 
   // Starts it anew and waits until it listens, for a few seconds at most. Throws std::runtime_error with its
@@ -55,7 +58,7 @@
   void SetSeed(std::uint64_t seed) { config_.seed = seed; }
 
   const SidecarConfig& config() const { return config_; }
-  const boost::asio::ip::tcp::endpoint& listen() const { return listen_; }  // valid after the first start
+  const boost::asio::ip::tcp::endpoint& listen() const { return port_.endpoint(); }
   // Throws std::logic_error before the first start.
   Process& process();
 
@@ -67,7 +70,7 @@
   std::string config_path_;
   std::string log_path_;
   SidecarConfig config_;
-  boost::asio::ip::tcp::endpoint listen_;
+  PortReservation port_;
   std::optional<Process> process_;
 };
 
--- a/tests/lab_processes_test.cpp
+++ b/tests/lab_processes_test.cpp
@@ -771,6 +771,12 @@
   ASSERT_TRUE(stage.RunUntil([&] { return load->begun() >= 50; }));
   EXPECT_EQ(sidecar->process().Kill().signal, SIGKILL);
   stage.RunFor(milliseconds(300));
+  // Nobody else gets its port meanwhile.
+  boost::asio::io_context other;
+  tcp::acceptor taking(other, tcp::v4());
+  error_code taken;
+  taking.bind(listen, taken);
+  EXPECT_EQ(taken, boost::asio::error::address_in_use);
   sidecar->Start();
   ASSERT_TRUE(sidecar->AwaitReady(kPatience));
   EXPECT_EQ(sidecar->listen(), listen);
