Let a logger write to another stream than standard error

Hundreds of discovery clients in one process would fill standard error with the outages that an experiment plays. The stream is optional; nothing changes for the program.

--- a/node/log.h
+++ b/node/log.h
@@ -1,4 +1,4 @@
-// Lines for the people on call, on standard error; bounded, whatever happens.
+// Lines for the people on call, on standard error where no other stream is given; bounded, whatever happens.
 #pragma once
 
 #include <cstdint>
@@ -12,7 +12,8 @@
 
 class Logger {
  public:
-  explicit Logger(std::string name) : name_(std::move(name)) {}
+  // `out` has to outlive the logger.
+  explicit Logger(std::string name, std::ostream* out = &std::cerr) : name_(std::move(name)), out_(*out) {}
 
   // Guards against a trouble that repeats filling the disk: past kBurst lines only kPerSecond go out, and the
   // next one tells how many did not.
@@ -26,8 +27,8 @@
       return;
     }
     allowed_ -= 1;
-    if (dropped_ > 0) std::cerr << name_ << ": " << std::exchange(dropped_, 0) << " lines left out\n";
-    std::cerr << name_ << ": " << text.substr(0, kLongest) << std::endl;
+    if (dropped_ > 0) out_ << name_ << ": " << std::exchange(dropped_, 0) << " lines left out\n";
+    out_ << name_ << ": " << text.substr(0, kLongest) << std::endl;
   }
 
  private:
@@ -35,6 +36,7 @@
   static constexpr double kPerSecond = 5;
   static constexpr std::size_t kLongest = 500;
   std::string name_;
+  std::ostream& out_;
   double allowed_ = kBurst;
   TimePoint refilled_ = Now();
   std::uint64_t dropped_ = 0;
