--- /dev/null
+++ b/lab/discovery_server.h
@@ -0,0 +1,144 @@
+// A stand-in for discovery on loopback: an HTTP/1.1 agent for each sidecar that lists the upstreams, answers
+// watches, and hears of changes after a delay of its own, with faults of that delivery.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <thread>
+#include <unordered_set>
+#include <vector>
+
+#include "experiment.h"
+#include "membership.h"
+#include "node/clock.h"
+#include "node/config.h"
+
+namespace aspendyke::lab {
+
+using kestrellb::TimePoint;
+
+// What one sidecar's agent has carried since the start. Bytes are those of HTTP messages, heads included.
+struct AgentCounters {
+  std::uint64_t calls = 0;
+  std::uint64_t bad_calls = 0;    // answered 400 or 404
+  std::uint64_t bytes_in = 0;     // from the sidecar
+  std::uint64_t bytes_out = 0;    // to it
+  std::uint64_t whole_lists = 0;  // answers with the whole list
+  std::uint64_t changes = 0;      // changed entries told, over all answers that are not the whole list
+  AgentCounters& operator+=(const AgentCounters& other);
+};
+
+struct DiscoveryCounters {
+  std::vector<AgentCounters> agents;  // by sidecar
+  Duration processor_time{};          // of the server's thread
+  AgentCounters Total() const;
+};
+
+struct DiscoveryServerOptions {
+  Range notice_delay_s{0.1, 1};  // drawn for each change and sidecar, in seconds
+  std::uint64_t seed = 1;
+  // What each sidecar's list holds: the upstreams of one service, or all where absent. One for each sidecar.
+  std::vector<std::optional<std::size_t>> services;
+};
+
+// Raises this process's soft limit of descriptors to `needed` where it is lower. Throws std::runtime_error
+// where the hard limit does not allow it.
+void EnsureDescriptorLimit(std::size_t needed);
+
+// Serves on a thread of its own from construction to destruction. All public members may be called from any
+// thread but the server's own; commands take effect in the order in which they were given.
+//
+// An agent holds a revision: what it was told so far. A notice that arrives brings along everything older.
+class DiscoveryServer {
+ public:
+  // Throws std::invalid_argument for entries that the registry does not take, std::runtime_error where
+  // sockets or descriptors run out.
+  DiscoveryServer(std::vector<MembershipEntry> entries, DiscoveryServerOptions options);
+  ~DiscoveryServer();
+  DiscoveryServer(const DiscoveryServer&) = delete;
+  DiscoveryServer& operator=(const DiscoveryServer&) = delete;
+
+  // Where sidecar `sidecar` (from 0) finds its agent: an address of loopback.
+  mothrack::Endpoint endpoint(std::size_t sidecar) const;
+
+  // A new state, weight or start of one entry. Returns the revision that it makes. Throws std::out_of_range
+  // for an unknown id.
+  std::uint64_t Change(const MembershipEntry& entry);
+
+  // ---- Faults ----
+  void SetLate(double factor);  // notices of changes from now on take `factor` times as long; 1: as usual
+  void SetLost(double share);   // of the notices from now on: not delivered, brought by the next call
+  void SilenceWatches();        // watches that are open now are never answered
+  // While down, nobody is answered, also not later. At the return all that happened is told at once.
+  void SetDown(bool down);
+
+  // Watches that wait for something newer now, over all sidecars.
+  std::size_t OpenWatches();
+  DiscoveryCounters Counters();
+
+ private:
+  class Session;
+  struct Agent;
+  struct Notice {
+    TimePoint when;
+    std::size_t agent = 0;
+    std::uint64_t revision = 0;
+    bool operator>(const Notice& other) const { return when > other.when; }
+  };
+  // A view of the registry as text. It never changes: an older revision's view stays what it was.
+  struct Answer {
+    std::string body;
+    std::uint64_t revision = 0;
+    bool whole = true;
+    std::size_t entries = 0;
+  };
+  struct AnswerKey {
+    std::optional<std::size_t> service;
+    std::optional<std::uint64_t> held;
+    std::uint64_t as_of = 0;
+    auto operator<=>(const AnswerKey&) const = default;
+  };
+
+  void Listen(Agent& agent);
+  void Accept(Agent& agent);
+  void SilenceAll();
+  void ApplyChange(const MembershipEntry& entry, TimePoint at);
+  void Notify(Agent& agent, std::uint64_t revision, TimePoint at);
+  void ArmNotices();
+  void DeliverNotices();
+  void Advance(Agent& agent, std::uint64_t revision);
+  std::shared_ptr<const Answer> AnswerFor(Agent& agent, std::optional<std::uint64_t> held);
+  Answer MakeAnswer(const AnswerKey& key) const;
+  // Runs `read` on the server's thread and waits for what it gives.
+  template <typename Read>
+  auto OnServerThread(Read read) -> decltype(read());
+
+  const DiscoveryServerOptions options_;
+  boost::asio::io_context io_{1};
+  std::unordered_set<std::string> known_ids_;
+  std::mutex order_;                 // of changes; guards the next one
+  std::uint64_t last_revision_ = 1;  // handed out by Change()
+  // The rest belongs to the server's thread.
+  MembershipRegistry registry_;
+  std::vector<std::unique_ptr<Agent>> agents_;
+  std::priority_queue<Notice, std::vector<Notice>, std::greater<>> notices_;
+  boost::asio::steady_timer notice_timer_{io_};
+  std::map<AnswerKey, std::shared_ptr<const Answer>> answers_;
+  std::mt19937_64 random_;
+  double late_factor_ = 1;
+  double lost_share_ = 0;
+  bool down_ = false;
+  std::thread thread_;
+};
+
+}  // namespace aspendyke::lab
