Play experiments on the real clock: hollow and real sidecars on loopback

RunReal() starts the discovery stand-in, the hollow sidecars with their models and control clients, and the real sidecars with HTTP upstreams and load, each on a thread of its own.

--- a/lab/control_client.cpp
+++ b/lab/control_client.cpp
@@ -30,7 +30,7 @@
     const Change& change = changes_[revision - kFirstChange];
     if (!Concerns(change.service, service)) continue;
     const double delay_ms = std::chrono::duration<double, std::milli>(now - change.at).count();
-    delays_ms_.Add(delay_ms);
+    if (change.at >= counted_from_) delays_ms_.Add(delay_ms);
     recent_ms_.Add(delay_ms);
   }
 }
@@ -45,6 +45,11 @@
   return missing;
 }
 
+void PropagationLog::CountFrom(TimePoint from) {
+  counted_from_ = from;
+  delays_ms_ = {};
+}
+
 Distribution PropagationLog::TakeRecentDelays() { return std::exchange(recent_ms_, Distribution()); }
 
 ControlClient::ControlClient(boost::asio::io_context& io, const ControlClientOptions& options,
--- a/lab/control_client.h
+++ b/lab/control_client.h
@@ -36,9 +36,11 @@
   // How many changes up to `until` a sidecar has missed that was told all up to `told`.
   std::size_t Missing(std::uint64_t told, std::optional<std::size_t> service, TimePoint until) const;
 
-  // Milliseconds from each change to its being told, for each sidecar, since the start.
+  // Delays of changes before `from` do not count for delays_ms().
+  void CountFrom(TimePoint from);
+  // Milliseconds from each counted change to its being told, for each sidecar.
   const Distribution& delays_ms() const { return delays_ms_; }
-  // The same since the last call of this function.
+  // The same of all changes, since the last call of this function.
   Distribution TakeRecentDelays();
 
  private:
@@ -47,6 +49,7 @@
     TimePoint at;
   };
   std::vector<Change> changes_;  // of revision 2 on
+  TimePoint counted_from_ = TimePoint::min();
   Distribution delays_ms_;
   Distribution recent_ms_;
 };
--- a/lab/discovery_server.h
+++ b/lab/discovery_server.h
@@ -35,6 +35,7 @@
   std::uint64_t bytes_out = 0;    // to it
   std::uint64_t whole_lists = 0;  // answers with the whole list
   std::uint64_t changes = 0;      // changed entries told, over all answers that are not the whole list
+  std::uint64_t bytes() const { return bytes_in + bytes_out; }
   AgentCounters& operator+=(const AgentCounters& other);
 };
 
--- /dev/null
+++ b/lab/hollow_fleet.cpp
@@ -0,0 +1,184 @@
+#include "hollow_fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "cpu_clock.h"
+
+namespace aspendyke::lab {
+namespace {
+
+constexpr double kSpreadPercentile = 0.95;
+
+double Milliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
+
+Deployment WithoutRealLoad(Deployment deployment) {
+  for (SidecarInstance& sidecar : deployment.sidecars) {
+    if (sidecar.real) sidecar.requests_per_s = 0;
+  }
+  return deployment;
+}
+
+}  // namespace
+
+void RequestResults::Add(const RequestResult& result) {
+  ++counters.requests;
+  switch (result.outcome) {
+    case RequestOutcome::kInTime:
+      ++counters.in_time;
+      break;
+    case RequestOutcome::kLate:
+      ++counters.late;
+      break;
+    case RequestOutcome::kRefused:
+      ++counters.refused;
+      return;
+    case RequestOutcome::kFailed:
+      ++counters.failed;
+      return;
+  }
+  latency_ms.Add(Milliseconds(result.ended - result.arrived));
+}
+
+std::optional<std::size_t> ListedService(const Experiment& experiment, const SidecarInstance& sidecar) {
+  if (experiment.list == ListScope::kAll) return std::nullopt;
+  return sidecar.service;
+}
+
+HollowFleet::HollowFleet(boost::asio::io_context& io, Scheduler& scheduler, const Experiment& experiment,
+                         const Deployment& deployment, DiscoveryServer& discovery)
+    : io_(io),
+      scheduler_(scheduler),
+      experiment_(experiment),
+      deployment_(deployment),
+      offered_(WithoutRealLoad(deployment)),
+      discovery_(discovery),
+      network_(experiment.network, DeriveSeed(experiment.seed, "network")),
+      members_(deployment.sidecars.size()),
+      clients_(
+          experiment, offered_, scheduler,
+          [this](std::size_t sidecar, const OfferedRequest& request, HollowSidecar::OnAnswer on_answer) {
+            Offer(sidecar, request, std::move(on_answer));
+          },
+          [this](const RequestResult& result) { CountResult(result); }, traffic_.client_retries) {
+  for (const UpstreamInstance& instance : deployment.upstreams) {
+    models_.push_back(std::make_unique<UpstreamModel>(instance, experiment.upstreams, scheduler));
+    directory_.Add(*models_.back());
+  }
+  work_at_look_ = ServedWork();
+}
+
+void HollowFleet::StartSidecars(const MembershipRegistry& registry) {
+  for (const SidecarInstance& instance : deployment_.sidecars) {
+    if (instance.real) continue;
+    ++hollow_count_;
+    Member& member = members_[instance.index];
+    member.sidecar =
+        std::make_unique<HollowSidecar>(instance, SidecarSettings(experiment_, deployment_, instance),
+                                        directory_, network_, scheduler_, traffic_, [&member] {
+                                          if (member.control) member.control->Ask();
+                                        });
+    StartSidecar(instance.index, registry);
+  }
+}
+
+void HollowFleet::KillSidecar(std::size_t sidecar) {
+  Member& member = members_[sidecar];
+  if (!member.sidecar) return;
+  member.control.reset();
+  member.sidecar->Kill();
+}
+
+void HollowFleet::StartSidecar(std::size_t sidecar, const MembershipRegistry& registry) {
+  Member& member = members_[sidecar];
+  if (!member.sidecar) return;
+  const SidecarInstance& instance = deployment_.sidecars[sidecar];
+  const std::uint64_t start = member.starts++;
+  const std::uint64_t seed = start == 0 ? instance.seed : DeriveSeed(instance.seed, "restart", start);
+  ControlClientOptions options;
+  options.discovery = discovery_.endpoint(sidecar);
+  options.on_request = experiment_.discovery.on_request;
+  options.service = ListedService(experiment_, instance);
+  options.seed = DeriveSeed(seed, "discovery");
+  HollowSidecar& told = *member.sidecar;
+  member.control = std::make_unique<ControlClient>(
+      io_, options, unix_clock_, propagation_,
+      [&told](const kestrellb::MembershipUpdate& update) { told.Apply(update); });
+  const auto known = mothrack::ParseList(ToJson(registry.Since(std::nullopt, options.service)), unix_clock_);
+  told.Start(seed, known.update.upstreams);
+  if (!options.on_request) member.control->Ask();
+}
+
+bool HollowFleet::AllHoldLists() const {
+  return std::all_of(members_.begin(), members_.end(), [](const Member& member) {
+    return !member.sidecar || (member.control && member.control->revision() > 0);
+  });
+}
+
+std::size_t HollowFleet::MissingNotices() const {
+  std::size_t missing = 0;
+  for (const Member& member : members_) {
+    if (member.control) missing += member.control->Missing(scheduler_.Now());
+  }
+  return missing;
+}
+
+void HollowFleet::BeginMeasuring(TimePoint now, TimePoint end) {
+  measuring_ = true;
+  measured_from_ = now;
+  measured_until_ = end;
+  work_at_start_ = ServedWork();
+  propagation_.CountFrom(now);
+}
+
+void HollowFleet::EndMeasuring() {
+  measuring_ = false;
+  totals_.load_spread = LoadSpread(work_at_start_);
+}
+
+HollowWindow HollowFleet::Take() {
+  HollowWindow window;
+  window.results = std::exchange(window_, {});
+  window.traffic = std::exchange(traffic_, {});
+  window.notice_delays_ms = propagation_.TakeRecentDelays();
+  const double cpu_s = ThreadCpuSeconds();
+  window.thread_cpu_s = cpu_s - std::exchange(cpu_at_look_s_, cpu_s);
+  window.load_spread = LoadSpread(work_at_look_);
+  work_at_look_ = ServedWork();
+  for (const auto& model : models_) {
+    window.crowded_upstreams += model->crowded() ? 1 : 0;
+    window.held += model->held();
+  }
+  if (measuring_) totals_.traffic += window.traffic;
+  return window;
+}
+
+void HollowFleet::Offer(std::size_t sidecar, const OfferedRequest& request,
+                        HollowSidecar::OnAnswer on_answer) {
+  members_[sidecar].sidecar->Offer(request, std::move(on_answer));
+}
+
+void HollowFleet::CountResult(const RequestResult& result) {
+  window_.Add(result);
+  if (result.arrived < measured_from_ || result.arrived >= measured_until_) return;
+  totals_.results.Add(result);
+  if (result.arrived >= measured_until_ - experiment_.length / 3) totals_.last_third.Add(result);
+}
+
+std::vector<double> HollowFleet::ServedWork() const {
+  std::vector<double> work;
+  for (const auto& model : models_) work.push_back(model->served_work());
+  return work;
+}
+
+double HollowFleet::LoadSpread(const std::vector<double>& before) const {
+  Distribution loads;
+  for (std::size_t i = 0; i < models_.size(); ++i) {
+    const UpstreamInstance& instance = models_[i]->instance();
+    loads.Add((models_[i]->served_work() - before[i]) / (instance.kind->cores * instance.speed));
+  }
+  return loads.mean() > 0 ? loads.Percentile(kSpreadPercentile) / loads.mean() : 0;
+}
+
+}  // namespace aspendyke::lab
--- /dev/null
+++ b/lab/hollow_fleet.h
@@ -0,0 +1,129 @@
+// All hollow sidecars of a run on the real clock, with their control clients, the upstream models they call
+// and their clients, on the thread of one io_context.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "client_model.h"
+#include "control_client.h"
+#include "deployment.h"
+#include "discovery_server.h"
+#include "experiment.h"
+#include "hollow_sidecar.h"
+#include "membership.h"
+#include "metrics.h"
+#include "network_model.h"
+#include "scheduler.h"
+#include "upstream_model.h"
+
+namespace aspendyke::lab {
+
+// How requests ended, with the latencies of the served ones.
+struct RequestResults {
+  TrafficCounters counters;
+  Distribution latency_ms;
+  void Add(const RequestResult& result);
+};
+
+// What happened since the last look.
+struct HollowWindow {
+  RequestResults results;   // of the requests that ended
+  TrafficCounters traffic;  // to the upstreams, and clients' retries; no results
+  Distribution notice_delays_ms;
+  double thread_cpu_s = 0;  // of the whole thread: sidecars, control clients, models and clients
+  double load_spread = 0;   // 95th percentile over mean of the upstreams' served work by capacity
+  std::uint64_t crowded_upstreams = 0;
+  std::uint64_t held = 0;
+};
+
+// Of the measured time. Requests count by their arrival.
+struct HollowTotals {
+  RequestResults results;
+  RequestResults last_third;
+  TrafficCounters traffic;
+  double load_spread = 0;
+};
+
+// What a sidecar's discovery list is restricted to, if at all.
+std::optional<std::size_t> ListedService(const Experiment& experiment, const SidecarInstance& sidecar);
+
+// All members have to be called on the io_context's thread, or while it does not run.
+class HollowFleet {
+ public:
+  // Makes the upstream models, which run from then on. All references have to outlive it.
+  HollowFleet(boost::asio::io_context& io, Scheduler& scheduler, const Experiment& experiment,
+              const Deployment& deployment, DiscoveryServer& discovery);
+
+  // Starts every hollow sidecar, each with what `registry` lists, and its control client.
+  void StartSidecars(const MembershipRegistry& registry);
+  // A sidecar dies, and starts anew. Nothing happens for a real one.
+  void KillSidecar(std::size_t sidecar);
+  void StartSidecar(std::size_t sidecar, const MembershipRegistry& registry);
+
+  void StartLoad() { clients_.Start(); }
+  void StopLoad() { clients_.Stop(); }
+  void SetLoadFactor(double factor) { clients_.SetLoadFactor(factor); }
+  std::size_t open_requests() const { return clients_.open(); }
+
+  UpstreamModel& model(std::size_t upstream) { return *models_[upstream]; }
+  NetworkModel& network() { return network_; }
+  PropagationLog& propagation() { return propagation_; }
+  const PropagationLog& propagation() const { return propagation_; }
+  std::size_t sidecars() const { return hollow_count_; }
+
+  // Whether every sidecar has had its first list.
+  bool AllHoldLists() const;
+  // Changes that a running sidecar should have heard of and has not, over all sidecars.
+  std::size_t MissingNotices() const;
+
+  // The measured time, from now on.
+  void BeginMeasuring(TimePoint now, TimePoint end);
+  // What is measured by time alone ends here; requests that arrived before count until they have ended.
+  void EndMeasuring();
+  HollowWindow Take();
+  const HollowTotals& totals() const { return totals_; }
+
+ private:
+  struct Member {
+    std::unique_ptr<HollowSidecar> sidecar;
+    std::unique_ptr<ControlClient> control;  // null while the sidecar is down
+    std::uint64_t starts = 0;
+  };
+
+  void Offer(std::size_t sidecar, const OfferedRequest& request, HollowSidecar::OnAnswer on_answer);
+  void CountResult(const RequestResult& result);
+  std::vector<double> ServedWork() const;
+  double LoadSpread(const std::vector<double>& before) const;
+
+  boost::asio::io_context& io_;
+  Scheduler& scheduler_;
+  const Experiment& experiment_;
+  const Deployment& deployment_;
+  const Deployment offered_;  // the same with no requests for the real sidecars
+  DiscoveryServer& discovery_;
+  const mothrack::UnixClock unix_clock_;
+  NetworkModel network_;
+  std::vector<std::unique_ptr<UpstreamModel>> models_;
+  UpstreamDirectory directory_;
+  PropagationLog propagation_;
+  std::vector<Member> members_;  // by the sidecar's index; empty for a real one
+  std::size_t hollow_count_ = 0;
+  TrafficCounters traffic_;  // since the last look
+  ClientModel clients_;
+
+  RequestResults window_;
+  double cpu_at_look_s_ = 0;
+  std::vector<double> work_at_look_;
+  HollowTotals totals_;
+  std::vector<double> work_at_start_;
+  bool measuring_ = false;
+  TimePoint measured_from_ = TimePoint::max();
+  TimePoint measured_until_ = TimePoint::max();
+};
+
+}  // namespace aspendyke::lab
--- /dev/null
+++ b/lab/real_fleet.cpp
@@ -0,0 +1,156 @@
+#include "real_fleet.h"
+
+#include <stdlib.h>
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <stdexcept>
+#include <system_error>
+#include <utility>
+
+#include "hollow_fleet.h"
+
+namespace aspendyke::lab {
+namespace {
+
+constexpr Duration kReadyPatience = std::chrono::seconds(30);
+// Of a busy thread, for an answer.
+constexpr Duration kAskPatience = std::chrono::seconds(10);
+
+std::string ToText(const mothrack::Endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+}  // namespace
+
+TemporaryFolder::TemporaryFolder()
+    : path_((std::filesystem::temp_directory_path() / "aspendyke-lab-XXXXXX").string()) {
+  if (::mkdtemp(path_.data()) == nullptr) {
+    throw std::system_error(errno, std::generic_category(), "mkdtemp " + path_);
+  }
+}
+
+TemporaryFolder::~TemporaryFolder() {
+  std::error_code ignored;
+  std::filesystem::remove_all(path_, ignored);
+}
+
+RealFleet::RealFleet(const Experiment& experiment, const Deployment& deployment, std::string program)
+    : experiment_(experiment), deployment_(deployment), program_(std::move(program)) {
+  HttpUpstreamOptions options;
+  options.probes = experiment.sidecars.probes;
+  upstreams_ = std::make_unique<HttpUpstreams>(upstream_thread_.io(), upstream_scheduler_, deployment,
+                                               experiment.upstreams, options);
+  upstream_thread_.Start();
+}
+
+RealFleet::~RealFleet() {
+  load_thread_.Stop();
+  upstream_thread_.Stop();
+}
+
+void RealFleet::StartSidecars(const DiscoveryServer& discovery, const MembershipRegistry& registry) {
+  std::vector<LoadTarget> targets;
+  for (const SidecarInstance& instance : deployment_.sidecars) {
+    if (!instance.real) continue;
+    SidecarConfig config;
+    config.name = instance.name;
+    config.discovery = ToText(discovery.endpoint(instance.index));
+    config.seed = instance.seed;
+    config.memory_mb = experiment_.sidecars.memory_mb;
+    config.sockets = static_cast<std::size_t>(experiment_.sidecars.sockets);
+    config.known = ToJson(registry.Since(std::nullopt, ListedService(experiment_, instance)));
+    config.settings = SidecarSettings(experiment_, deployment_, instance);
+    members_.push_back({instance.index, SidecarProcess(program_, folder_.path(), std::move(config))});
+    members_.back().process.Start();
+    targets.push_back({members_.back().process.listen(), instance.requests_per_s});
+  }
+  for (Member& member : members_) {
+    if (member.process.AwaitReady(kReadyPatience)) continue;
+    throw std::runtime_error("sidecar " + member.process.config().name + " is not ready");
+  }
+  load_ =
+      std::make_unique<HttpLoad>(load_thread_.io(), load_scheduler_, experiment_.clients, experiment_.classes,
+                                 std::move(targets), DeriveSeed(experiment_.seed, "http load"));
+  load_thread_.Start();
+}
+
+void RealFleet::StartLoad() {
+  load_thread_.Post([this] { load_->Start(); });
+}
+
+void RealFleet::StopLoad() {
+  load_thread_.Post([this] { load_->Stop(); });
+}
+
+std::size_t RealFleet::OpenRequests() {
+  return load_thread_.Ask([this] { return load_->under_way(); }, kAskPatience);
+}
+
+void RealFleet::SetLoadFactor(double factor) {
+  load_thread_.Post([this, factor] { load_->SetFactor(factor); });
+}
+
+void RealFleet::AtUpstreams(std::function<void(HttpUpstreams&)> task) {
+  upstream_thread_.Post([this, task = std::move(task)] { task(*upstreams_); });
+}
+
+RealFleet::Member* RealFleet::Find(std::size_t sidecar) {
+  const auto found = std::find_if(members_.begin(), members_.end(),
+                                  [=](const Member& member) { return member.sidecar == sidecar; });
+  return found == members_.end() ? nullptr : &*found;
+}
+
+void RealFleet::KillSidecar(std::size_t sidecar) {
+  if (Member* const member = Find(sidecar)) member->process.process().Kill();
+}
+
+void RealFleet::StartSidecar(std::size_t sidecar, nlohmann::json known) {
+  Member* const member = Find(sidecar);
+  if (member == nullptr) return;
+  member->process.SetKnown(std::move(known));
+  member->process.SetSeed(DeriveSeed(deployment_.sidecars[sidecar].seed, "restart", ++member->starts));
+  member->process.Start();
+  member->cpu_at_look_s = 0;
+}
+
+RealWindow RealFleet::Take() {
+  RealWindow window;
+  window.load = load_thread_.Ask([this] { return load_->Take(); }, kAskPatience);
+  TakeUpstreams(window);
+  TakeProcesses(window);
+  return window;
+}
+
+void RealFleet::TakeProcesses(RealWindow& window) {
+  double memory_mb = 0;
+  std::size_t running = 0;
+  for (Member& member : members_) {
+    const auto usage = member.process.process().Usage();
+    if (!usage) continue;
+    ++running;
+    memory_mb += usage->memory_mb;
+    window.cpu_s += usage->cpu_s - std::exchange(member.cpu_at_look_s, usage->cpu_s);
+  }
+  if (running > 0) window.memory_mb = memory_mb / static_cast<double>(running);
+}
+
+void RealFleet::TakeUpstreams(RealWindow& window) {
+  const HttpUpstreamCounters now = upstream_thread_.Ask(
+      [this, &window] {
+        for (std::size_t i = 0; i < upstreams_->size(); ++i) {
+          window.crowded_upstreams += upstreams_->model(i).crowded() ? 1 : 0;
+          window.held += upstreams_->model(i).held();
+        }
+        return upstreams_->TotalCounters();
+      },
+      kAskPatience);
+  const HttpUpstreamCounters before = std::exchange(upstreams_at_look_, now);
+  window.traffic.attempts = now.requests - before.requests;
+  window.traffic.attempts_full = now.turned_away - before.turned_away;
+  window.traffic.connects = now.connections - before.connections;
+  window.traffic.probes = now.probes - before.probes;
+}
+
+}  // namespace aspendyke::lab
--- /dev/null
+++ b/lab/worker_thread.h
@@ -0,0 +1,86 @@
+// A thread that runs an io_context, and how other threads have things done on it.
+#pragma once
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <exception>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace aspendyke::lab {
+
+// What is on the io_context has to outlive the call of Stop(). Start(), Stop() and Ask() are for one thread,
+// Post() for any.
+class WorkerThread {
+ public:
+  explicit WorkerThread(std::string name) : name_(std::move(name)) {}
+  ~WorkerThread() { Stop(); }
+  WorkerThread(const WorkerThread&) = delete;
+  WorkerThread& operator=(const WorkerThread&) = delete;
+
+  boost::asio::io_context& io() { return io_; }
+
+  void Start() {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  // Ends the thread after the handler that it is in.
+  void Stop() {
+    io_.stop();
+    if (thread_.joinable()) thread_.join();
+  }
+
+  template <typename Task>
+  void Post(Task task) {
+    boost::asio::post(io_, std::move(task));
+  }
+
+  // Runs `read` on the thread and gives what it returns. Throws what it throws, what has ended the thread
+  // before, and std::runtime_error where it has not answered within `patience`.
+  template <typename Read>
+  auto Ask(Read read, std::chrono::microseconds patience) -> decltype(read()) {
+    auto task = std::make_shared<std::packaged_task<decltype(read())()>>(std::move(read));
+    auto result = task->get_future();
+    Post([task] { (*task)(); });
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (result.wait_for(kLookEvery) != std::future_status::ready) {
+      RethrowFailure();
+      if (std::chrono::steady_clock::now() >= end) throw std::runtime_error(name_ + " does not keep up");
+    }
+    return result.get();
+  }
+
+  // Throws what has ended the thread, where anything has.
+  void RethrowFailure() {
+    const std::lock_guard lock(mutex_);
+    if (failure_) std::rethrow_exception(failure_);
+  }
+
+ private:
+  static constexpr auto kLookEvery = std::chrono::milliseconds(20);
+
+  void Run() {
+    try {
+      const auto work = boost::asio::make_work_guard(io_);
+      io_.run();
+    } catch (...) {
+      const std::lock_guard lock(mutex_);
+      failure_ = std::current_exception();
+    }
+  }
+
+  const std::string name_;
+  boost::asio::io_context io_{1};
+  std::thread thread_;
+  std::mutex mutex_;
+  std::exception_ptr failure_;  // guarded by mutex_
+};
+
+}  // namespace aspendyke::lab
