Follow discovery on threads apart from the hollow sidecars' modules

On one thread, 650 sidecars that ask for the whole list after an outage waited beyond their patience with discovery and asked again, about twelve lists each. Propagation has a log of its own, by sidecar.

--- a/lab/control_client.h
+++ b/lab/control_client.h
@@ -1,95 +1,82 @@
-// The control side of a hollow sidecar on the real clock: the program's own discovery client, and the record
-// of when each sidecar was told of each change.
+// The control side of hollow sidecars on the real clock: the program's own discovery client, many to a
+// thread.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <optional>
+#include <memory>
 #include <ostream>
 #include <vector>
 
 #include "kestrellb/balancer.h"
-#include "metrics.h"
 #include "node/clock.h"
 #include "node/config.h"
 #include "node/discovery.h"
 #include "node/log.h"
+#include "worker_thread.h"
 
 namespace aspendyke::lab {
 
 using kestrellb::TimePoint;
 
-// When the registry changed, and how long each sidecar took to hear of it. Not thread-safe: it belongs to the
-// thread of the control clients.
-class PropagationLog {
- public:
-  // The registry made this revision at `at`. Revisions come without gaps, from 2 on.
-  void Changed(std::uint64_t revision, std::size_t service, TimePoint at);
-  // The newest revision noted.
-  std::uint64_t newest() const { return changes_.size() + 1; }
-
-  // A sidecar that had been told all up to `from` has now been told all up to `to`. `service`: what its list
-  // is restricted to. A revision whose change is not noted yet is passed over.
-  void Told(std::uint64_t from, std::uint64_t to, std::optional<std::size_t> service, TimePoint now);
-  // How many changes up to `until` a sidecar has missed that was told all up to `told`.
-  std::size_t Missing(std::uint64_t told, std::optional<std::size_t> service, TimePoint until) const;
-
-  // Delays of changes before `from` do not count for delays_ms().
-  void CountFrom(TimePoint from);
-  // Milliseconds from each counted change to its being told, for each sidecar.
-  const Distribution& delays_ms() const { return delays_ms_; }
-  // The same of all changes, since the last call of this function.
-  Distribution TakeRecentDelays();
-
- private:
-  struct Change {
-    std::size_t service = 0;
-    TimePoint at;
-  };
-  std::vector<Change> changes_;  // of revision 2 on
-  TimePoint counted_from_ = TimePoint::min();
-  Distribution delays_ms_;
-  Distribution recent_ms_;
-};
-
 struct ControlClientOptions {
   mothrack::Endpoint discovery;
-  bool on_request = false;             // membership is told on request only: see Ask()
-  std::optional<std::size_t> service;  // what the list is restricted to
+  bool on_request = false;  // membership is told on request only: see Ask()
   kestrellb::Duration drain_grace = kestrellb::Rules().drain_grace;
   std::uint64_t seed = 1;
 };
 
-// Many of them share one io_context, whose thread calls all members.
+// What a sidecar was told.
+struct ControlNotice {
+  std::uint64_t revision = 0;  // of the list; 0 where a call has failed
+  TimePoint at;
+  kestrellb::MembershipUpdate update;
+};
+
+// Its io_context's thread calls all members.
 class ControlClient {
  public:
-  using OnUpdate = std::function<void(const kestrellb::MembershipUpdate&)>;
+  using OnNotice = std::function<void(ControlNotice)>;
 
-  // `on_update` is handed each list, and on request each failure as an update of kind kFailed. The references
+  // `on_notice` is handed each list, and on request each failure as an update of kind kFailed. The references
   // have to outlive the client.
   ControlClient(boost::asio::io_context& io, const ControlClientOptions& options,
-                const mothrack::UnixClock& clock, PropagationLog& propagation, OnUpdate on_update);
+                const mothrack::UnixClock& clock, OnNotice on_notice);
 
   // Asks for the list and watches it. On request: once at the start, and after each failure again.
-  void Ask();
-  // The list's revision, 0 before the first.
-  std::uint64_t revision() const { return revision_; }
-  // Changes up to `until` that it should have heard of and has not.
-  std::size_t Missing(TimePoint until) const;
+  void Ask() { discovery_.Ask(); }
 
  private:
-  void Take(const mothrack::MembershipList& list);
-
-  PropagationLog& propagation_;
-  const std::optional<std::size_t> service_;
-  const OnUpdate on_update_;
-  std::uint64_t revision_ = 0;
-  std::uint64_t told_;  // the last revision counted as told
+  const OnNotice on_notice_;
   std::ostream silent_{nullptr};
   mothrack::Logger log_;
   mothrack::Discovery discovery_;
 };
 
+// The control clients of a fleet, spread over a few threads: on one alone, a list that all take at once would
+// hold up their calls beyond the patience that they have with discovery. Its members are for one thread.
+class ControlFleet {
+ public:
+  ControlFleet(std::size_t sidecars, const mothrack::UnixClock& clock);  // `clock` has to outlive it
+  ~ControlFleet();
+
+  // Replaces the client of that sidecar, if there is one. `on_notice` is called on another thread; notices of
+  // the replaced client may still come until its thread has taken note.
+  void Start(std::size_t sidecar, const ControlClientOptions& options, ControlClient::OnNotice on_notice);
+  void Stop(std::size_t sidecar);
+  void Ask(std::size_t sidecar);
+
+  double CpuSeconds();    // of all its threads
+  void RethrowFailure();  // throws what has ended one of its threads, where anything has
+
+ private:
+  WorkerThread& ThreadOf(std::size_t sidecar) { return *threads_[sidecar % threads_.size()]; }
+
+  const mothrack::UnixClock& clock_;
+  std::vector<std::unique_ptr<WorkerThread>> threads_;
+  std::vector<std::unique_ptr<ControlClient>> clients_;  // each belongs to its thread
+};
+
 }  // namespace aspendyke::lab
--- /dev/null
+++ b/lab/propagation_log.cpp
@@ -0,0 +1,64 @@
+#include "propagation_log.h"
+
+#include <algorithm>
+#include <chrono>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace aspendyke::lab {
+namespace {
+
+constexpr std::uint64_t kFirstChange = 2;  // revision 1 is the list at the start
+
+bool Concerns(std::size_t changed, std::optional<std::size_t> service) {
+  return !service || *service == changed;
+}
+
+}  // namespace
+
+void PropagationLog::Changed(std::uint64_t revision, std::size_t service, TimePoint at) {
+  if (revision != newest() + 1)
+    throw std::logic_error("revision " + std::to_string(revision) + " out of turn");
+  changes_.push_back({service, at});
+}
+
+void PropagationLog::Start(std::size_t sidecar, std::optional<std::size_t> service) {
+  sidecars_[sidecar] = {service, newest()};
+}
+
+void PropagationLog::Stop(std::size_t sidecar) { sidecars_.erase(sidecar); }
+
+void PropagationLog::Told(std::size_t sidecar, std::uint64_t revision, TimePoint at) {
+  const auto found = sidecars_.find(sidecar);
+  if (found == sidecars_.end()) return;
+  Sidecar& told = found->second;
+  const std::uint64_t last = std::min(revision, newest());
+  for (; told.told < last; ++told.told) {
+    const Change& change = changes_[told.told + 1 - kFirstChange];
+    if (!Concerns(change.service, told.service)) continue;
+    const double delay_ms = std::chrono::duration<double, std::milli>(at - change.at).count();
+    if (change.at >= counted_from_) delays_ms_.Add(delay_ms);
+    recent_ms_.Add(delay_ms);
+  }
+}
+
+std::size_t PropagationLog::Missing(TimePoint until) const {
+  std::size_t missing = 0;
+  for (const auto& [index, sidecar] : sidecars_) {
+    for (std::uint64_t revision = sidecar.told + 1; revision <= newest(); ++revision) {
+      const Change& change = changes_[revision - kFirstChange];
+      if (Concerns(change.service, sidecar.service) && change.at <= until) ++missing;
+    }
+  }
+  return missing;
+}
+
+void PropagationLog::CountFrom(TimePoint from) {
+  counted_from_ = from;
+  delays_ms_ = {};
+}
+
+Distribution PropagationLog::TakeRecentDelays() { return std::exchange(recent_ms_, Distribution()); }
+
+}  // namespace aspendyke::lab
--- a/lab/worker_thread.h
+++ b/lab/worker_thread.h
@@ -1,6 +1,9 @@
 // A thread that runs an io_context, and how other threads have things done on it.
 #pragma once
 
+#include <pthread.h>
+#include <time.h>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -57,6 +60,15 @@
     return result.get();
   }
 
+  // Processor time of the thread; 0 where it does not run.
+  double CpuSeconds() {
+    clockid_t clock{};
+    timespec spent{};
+    if (!thread_.joinable() || pthread_getcpuclockid(thread_.native_handle(), &clock) != 0) return 0;
+    clock_gettime(clock, &spent);
+    return static_cast<double>(spent.tv_sec) + 1e-9 * static_cast<double>(spent.tv_nsec);
+  }
+
   // Throws what has ended the thread, where anything has.
   void RethrowFailure() {
     const std::lock_guard lock(mutex_);
