--- /dev/null
+++ b/lab/control_client.cpp
@@ -0,0 +1,73 @@
+#include "control_client.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace aspendyke::lab {
+namespace {
+
+constexpr std::size_t kMostThreads = 4;
+
+std::size_t ThreadCount(std::size_t sidecars) {
+  const std::size_t half_of_cores = std::thread::hardware_concurrency() / 2;
+  return std::max<std::size_t>(1, std::min({kMostThreads, half_of_cores, sidecars}));
+}
+
+}  // namespace
+
+ControlClient::ControlClient(boost::asio::io_context& io, const ControlClientOptions& options,
+                             const mothrack::UnixClock& clock, OnNotice on_notice)
+    : on_notice_(std::move(on_notice)),
+      log_("hollow", &silent_),
+      discovery_(
+          io, options.discovery, options.on_request, options.drain_grace, clock, log_, options.seed,
+          [this](mothrack::MembershipList list) {
+            on_notice_({list.revision, mothrack::Now(), std::move(list.update)});
+          },
+          [this] {
+            on_notice_({0, mothrack::Now(), {kestrellb::MembershipUpdate::Kind::kFailed, {}}});
+          }) {}
+
+ControlFleet::ControlFleet(std::size_t sidecars, const mothrack::UnixClock& clock)
+    : clock_(clock), clients_(sidecars) {
+  for (std::size_t i = 0; i < ThreadCount(sidecars); ++i) {
+    threads_.push_back(std::make_unique<WorkerThread>("a thread of the control clients"));
+    threads_.back()->Start();
+  }
+}
+
+ControlFleet::~ControlFleet() {
+  for (const auto& thread : threads_) thread->Stop();
+}
+
+void ControlFleet::Start(std::size_t sidecar, const ControlClientOptions& options,
+                         ControlClient::OnNotice on_notice) {
+  WorkerThread& thread = ThreadOf(sidecar);
+  thread.Post([this, &thread, sidecar, options, on_notice = std::move(on_notice)] {
+    clients_[sidecar] = std::make_unique<ControlClient>(thread.io(), options, clock_, on_notice);
+    if (!options.on_request) clients_[sidecar]->Ask();
+  });
+}
+
+void ControlFleet::Stop(std::size_t sidecar) {
+  ThreadOf(sidecar).Post([this, sidecar] { clients_[sidecar].reset(); });
+}
+
+void ControlFleet::Ask(std::size_t sidecar) {
+  ThreadOf(sidecar).Post([this, sidecar] {
+    if (clients_[sidecar]) clients_[sidecar]->Ask();
+  });
+}
+
+double ControlFleet::CpuSeconds() {
+  double sum = 0;
+  for (const auto& thread : threads_) sum += thread->CpuSeconds();
+  return sum;
+}
+
+void ControlFleet::RethrowFailure() {
+  for (const auto& thread : threads_) thread->RethrowFailure();
+}
+
+}  // namespace aspendyke::lab
