Open no more than five connections an upstream while a sidecar's rate is not known

Cause: in the first 2 s a sidecar of a large fleet took as many upstreams as fifteen connections at each allow, so that its first calls opened a connection each; a herd of restarts does that together.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -54,7 +54,7 @@
 // its members hold kBusyMember calls of this sidecar in the mean.
 constexpr double kLeastSubset = 3;
 constexpr Duration kRateKnown = seconds(2);
-constexpr double kFairConnections = 15, kBusyMember = 2;
+constexpr double kFirstConnections = 5, kFairConnections = 15, kBusyMember = 2;
 // How long an idle connection is trusted: half the age at which one was found dropped, at least kLeastTrust,
 // growing by this factor each housekeeping (twice in some ten seconds).
 constexpr Duration kLeastTrust = milliseconds(100);
@@ -162,11 +162,12 @@
   // connections of all would fill the upstreams' tables, it is as many as this one keeps busy.
   double SubsetSize() const {
     const auto all = static_cast<double>(order_.size());
-    const double fair = kFairConnections * all / static_cast<double>(settings_.balancers);
-    if (now_ - started_ < kRateKnown || usual_rate_ <= 0) return std::max(kLeastSubset, std::min(all, fair));
+    const double each = all / static_cast<double>(settings_.balancers);  // of one connection at each upstream
+    if (now_ - started_ < kRateKnown || usual_rate_ <= 0)
+      return std::max(kLeastSubset, std::min(all, kFirstConnections * each));
     const double watched = usual_rate_ * Seconds(LateMemory()) / kFailuresToEject;
     const double busy = usual_held_ * able_weight_ / kBusyMember;
-    return std::max(kLeastSubset, std::min(watched, std::max(fair, busy)));
+    return std::max(kLeastSubset, std::min(watched, std::max(kFairConnections * each, busy)));
   }
 
   double SubsetShare() const { return std::min(1.0, SubsetSize() / std::max<double>(1, order_.size())); }
