--- /dev/null
+++ b/tests/lab_real_engine_test.cpp
@@ -0,0 +1,99 @@
+// Whole small runs on the real clock: hollow and real sidecars, faults and all.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "lab/deployment.h"
+#include "lab/engine.h"
+#include "lab/experiment.h"
+
+namespace aspendyke::lab {
+namespace {
+
+constexpr const char* kSmall = R"(
+name = "small"
+seed = 3
+clock = "real"
+warm_up_s = 1
+length_s = 4
+sizes = [6]
+
+[load]
+per_upstream = 10
+
+[[class]]
+name = "read"
+mean_work_ms = 1
+aim_ms = 1000
+deadline_ms = 3000
+
+[discovery]
+notice_delay_s = [0.01, 0.2]
+)";
+
+// The program of the same build.
+std::string RealSidecar() {
+  const auto tests = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+  return (tests.parent_path() / "mothrack").string();
+}
+
+Metrics Play(const std::string& text, std::vector<Sample>& samples) {
+  const Experiment experiment = ParseExperiment(text, "small.toml");
+  const Deployment deployment = MakeDeployment(experiment, experiment.sizes.front());
+  return RunReal(experiment, deployment, RealSidecar(),
+                 [&](const Sample& sample) { samples.push_back(sample); });
+}
+
+TEST(RealEngine, PlaysHollowAndRealSidecarsWithFaults) {
+  std::vector<Sample> samples;
+  const Metrics metrics = Play(std::string(kSmall) + R"(
+[sidecars]
+real = 2
+
+[[fault]]
+kind = "change"
+at_s = 0.2
+lasts_s = 1
+count = 4
+
+[[fault]]
+kind = "crash"
+at_s = 1.5
+lasts_s = 1
+share = 0.1
+
+[[fault]]
+kind = "sidecars_killed"
+at_s = 1
+share = 1
+)",
+                               samples);
+  EXPECT_EQ(metrics.sidecars, 6);
+  EXPECT_GT(metrics.requests, 100);
+  EXPECT_GT(metrics.in_time_share, 0.2);
+  EXPECT_GT(metrics.attempts_per_request, 0.2);
+  EXPECT_GT(metrics.added_p50_ms, 0);  // of real sidecars alone
+  EXPECT_GT(metrics.real_memory_mb, 0);
+  EXPECT_GT(metrics.hollow_cpu, 0);
+  EXPECT_GT(metrics.change_bytes, 100);
+  EXPECT_GT(metrics.notice_last_ms, metrics.notice_p50_ms);
+  EXPECT_EQ(metrics.notices_missing, 0);
+  EXPECT_GT(metrics.control_bytes_per_s, 0);
+  ASSERT_GE(samples.size(), 4u);
+  EXPECT_GT(samples.back().at_s, 4);
+}
+
+TEST(RealEngine, RefusesWhatTheMachineCantCarry) {
+  std::vector<Sample> samples;
+  const std::string many_upstreams = "sidecars_per_upstream = 100\n" + std::string(kSmall);
+  EXPECT_THROW(Play(many_upstreams + "\n[sidecars]\nreal = 400\n", samples), std::runtime_error);
+  EXPECT_THROW(Play(many_upstreams + "\n[sidecars]\nreal = 200\nmemory_mb = 1000000\n", samples),
+               std::runtime_error);
+  EXPECT_TRUE(samples.empty());
+}
+
+}  // namespace
+}  // namespace aspendyke::lab
