--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -12,8 +12,6 @@
 constexpr double kReadRate = 2'000'000;            // bytes per second that a slow upstream reads
 constexpr int kUpstreamReceiveBuffer = 256 * 1024;
 constexpr int kTimeoutMs = 1600;                   // 40% of term-publish's give-up time
-constexpr double kAnswerGrace = 0.5;               // STANDING: "Up to half a second after its time"
-constexpr double kSlack = 0.05;                    // PROTOCOL: "every time limit is 50 ms longer"
 constexpr double kWatch = 10;                      // how long a late answer is waited for, for the record
 
 std::string Chunked(const std::string& body) {
--- a/review/common.hpp
+++ b/review/common.hpp
@@ -373,11 +373,16 @@
     int sockets;
   };
 
-  Sidecar(const std::string& root, const Discovery& discovery, Limits limits) : port_(FreePort()) {
+  // `admin`: with a second address for operators. `old`: the new process has its address for clients and its $TMPDIR,
+  // as in an upgrade; it has to outlive this object.
+  Sidecar(const std::string& root, const Discovery& discovery, Limits limits, bool admin = false,
+          const Sidecar* old = nullptr)
+      : port_(old != nullptr ? old->port_ : FreePort()), admin_port_(admin ? FreePort() : 0) {
     std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     if (::mkdtemp(pattern.data()) == nullptr) throw CannotRun("no temporary folder");
     folder_ = pattern;
-    std::filesystem::create_directory(folder_ + "/tmp");
+    temporary_ = old != nullptr ? old->temporary_ : folder_ + "/tmp";
+    std::filesystem::create_directories(temporary_);
     const std::string address = "127.0.0.1:" + std::to_string(port_);
     const std::string discovery_address = "127.0.0.1:" + std::to_string(discovery.port());
     std::ofstream(folder_ + "/config.json")
@@ -394,37 +399,36 @@
       ::setenv("LB_LISTEN", address.c_str(), 1);
       ::setenv("LB_DISCOVERY", discovery_address.c_str(), 1);
       ::setenv("LB_CONFIG", (folder_ + "/config.json").c_str(), 1);
-      ::setenv("TMPDIR", (folder_ + "/tmp").c_str(), 1);
+      ::setenv("TMPDIR", temporary_.c_str(), 1);
       ::unsetenv("LB_ADMIN");
+      if (admin) ::setenv("LB_ADMIN", ("127.0.0.1:" + std::to_string(admin_port_)).c_str(), 1);
       if (::chdir(root.c_str()) == 0) ::execl("/bin/sh", "sh", "-c", command.c_str(), nullptr);
       ::_exit(127);
     }
   }
   ~Sidecar() {
-    if (process_ > 0) {
-      ::kill(process_, SIGKILL);
-      ::waitpid(process_, nullptr, 0);
-    }
+    Signal(SIGKILL);
+    if (process_ > 0) ::waitpid(process_, nullptr, 0);
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
   }
 
+  void Signal(int number) {
+    if (IsRunning()) ::kill(process_, number);
+  }
+  // GET /ready at the operators' address.
+  bool IsReady() const { return Ask(admin_port_, "/ready", 1) == 200; }
+  // The number of descriptors that the process holds, for the record.
+  int Descriptors() {
+    if (!IsRunning()) return 0;
+    std::error_code ignored;
+    const std::filesystem::directory_iterator all("/proc/" + std::to_string(process_) + "/fd", ignored);
+    return static_cast<int>(std::distance(begin(all), end(all)));
+  }
   int port() const { return port_; }
 
   // GET /up at the clients' address, as the application asks before it starts. Returns the status, 0 for none.
-  int Up(double patience) const {
-    const int connection = Connect(port_);
-    if (connection < 0) return 0;
-    int status = 0;
-    Reader reader(connection);
-    Reader::Message answer;
-    if (WriteAll(connection, "GET /up HTTP/1.1\r\nHost: api.internal\r\n\r\n") &&
-        reader.Read(answer, Now() + patience) == ReadStatus::kMessage) {
-      status = answer.status();
-    }
-    ::close(connection);
-    return status;
-  }
+  int Up(double patience) const { return Ask(port_, "/up", patience); }
   void AwaitUp() const {
     for (const double until = Now() + 30; Now() < until; SleepFor(0.05)) {
       if (Up(1) == 200) return;
@@ -451,9 +455,131 @@
     throw CannotRun("no command `run` in deploy/balancer.toml");
   }
 
+  static int Ask(int port, const std::string& path, double patience) {
+    const int connection = Connect(port);
+    if (connection < 0) return 0;
+    int status = 0;
+    Reader reader(connection);
+    Reader::Message answer;
+    if (WriteAll(connection, "GET " + path + " HTTP/1.1\r\nHost: api.internal\r\n\r\n") &&
+        reader.Read(answer, Now() + patience) == ReadStatus::kMessage) {
+      status = answer.status();
+    }
+    ::close(connection);
+    return status;
+  }
+
   const int port_;
+  const int admin_port_;
   std::string folder_;
-  pid_t process_ = -1;
+  std::string temporary_;
+  std::atomic<pid_t> process_{-1};
+};
+
+// ---- Proper clients ----
+
+constexpr double kAnswerGrace = 0.5;  // STANDING: "Up to half a second after its time it only earns nothing"
+constexpr double kSlack = 0.05;       // PROTOCOL: "every time limit is 50 ms longer"
+
+struct RequestClass {
+  const char* name;
+  const char* method;
+  int timeout_ms;  // 0.6 of the class's give-up time
+  bool keyed;
+};
+inline const std::vector<RequestClass> kClasses = {{"week-view", "GET", 1800, false},
+                                     {"room-check", "GET", 900, false},
+                                     {"lesson-move", "POST", 1500, true},
+                                     {"term-publish", "POST", 2400, false}};
+
+struct Counts {
+  std::atomic<int> sent{0}, served{0}, refused{0}, failed{0}, lost{0};
+};
+
+// Sends one request at a time, keeps its connection, and judges each request: lost, if it was written whole and has no
+// final answer half a second after its time.
+class Client {
+ public:
+  Client(int number, const Sidecar& sidecar, Record& record, Counts& counts)
+      : number_(number), sidecar_(sidecar), record_(record), counts_(counts) {}
+
+  void Run(double until, double interval, const std::vector<RequestClass>& classes) {
+    for (int i = 0; Now() < until; ++i) {
+      Send(classes[static_cast<std::size_t>(i) % classes.size()], "c" + std::to_string(number_) + "-" + std::to_string(i));
+      SleepFor(interval);
+    }
+    Leave();
+  }
+
+ private:
+  enum class End { kAnswered, kUnanswered, kClosed, kRefused };
+
+  void Send(const RequestClass& request_class, const std::string& id) {
+    std::string text = std::string(request_class.method) + " /" + request_class.name + "/k1 HTTP/1.1\r\n" +
+                       "Host: api.internal\r\nX-Request-ID: " + id +
+                       "\r\nX-Timeout-Ms: " + std::to_string(request_class.timeout_ms) + "\r\n";
+    if (request_class.keyed) text += "Idempotency-Key: key-" + id + "\r\n";
+    if (std::string(request_class.method) == "POST") text += "Content-Length: 4\r\n";
+    text += "\r\n";
+    if (std::string(request_class.method) == "POST") text += "body";
+    ++counts_.sent;
+    int status = 0;
+    End end = End::kClosed;
+    // A close that crosses the request: the client sends it once more on a new connection (PROTOCOL).
+    for (int attempt = 0; attempt < 2 && end == End::kClosed; ++attempt) {
+      end = Try(text, request_class, id, status);
+    }
+    if (end == End::kUnanswered) {
+      ++counts_.lost;
+      record_.Line("LOST %s %s: written to an accepted connection, no answer %d ms + 550 ms later", id.c_str(),
+                   request_class.name, request_class.timeout_ms);
+    } else if (end == End::kAnswered) {
+      ++(status == 200 ? counts_.served : status == 503 || status == 429 ? counts_.refused : counts_.failed);
+      record_.Line("answer %d for %s %s", status, id.c_str(), request_class.name);
+    } else {
+      ++counts_.failed;
+      record_.Line("%s %s: %s", id.c_str(), request_class.name,
+                   end == End::kRefused ? "connection refused" : "closed twice unanswered");
+    }
+  }
+
+  End Try(const std::string& text, const RequestClass& request_class, const std::string& id, int& status) {
+    if (connection_ < 0) {
+      connection_ = Connect(sidecar_.port());
+      if (connection_ < 0) return End::kRefused;
+      reader_.emplace(connection_);
+    }
+    if (!WriteAll(connection_, text)) {
+      Leave();
+      return End::kClosed;
+    }
+    record_.Line("sent %s %s", id.c_str(), request_class.name);
+    Reader::Message answer;
+    const double until = Now() + request_class.timeout_ms / 1000.0 + kAnswerGrace + kSlack;
+    ReadStatus read = ReadStatus::kMessage;
+    do {
+      read = reader_->Read(answer, until);
+    } while (read == ReadStatus::kMessage && answer.status() / 100 == 1);
+    if (read == ReadStatus::kMessage) {
+      status = answer.status();
+      if (answer.Header("connection") == "close") Leave();
+      return End::kAnswered;
+    }
+    Leave();
+    return read == ReadStatus::kClosed ? End::kClosed : End::kUnanswered;
+  }
+
+  void Leave() {
+    if (connection_ >= 0) ::close(connection_);
+    connection_ = -1;
+  }
+
+  const int number_;
+  const Sidecar& sidecar_;
+  Record& record_;
+  Counts& counts_;
+  int connection_ = -1;
+  std::optional<Reader> reader_;
 };
 
 // Whether the disruption is on: TROUBLE=0 leaves it out.
