--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -23,7 +23,9 @@
                      std::to_string(number) + "\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::size_t head = text.size();
   while (text.size() < head + 64000) text += "room=B214 lesson=7a teacher=kl ";
-  const bool written = ::send(connection, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0;
+  const timeval patience{1, 0};
+  ::setsockopt(connection, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
+  const bool written = WriteAll(connection, text);
   Reader reader(connection);
   Reader::Message answer;
   const auto read = written ? reader.ReadHead(answer, Now() + kPeerStay) : ReadStatus::kClosed;
--- a/review/common.hpp
+++ b/review/common.hpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -392,6 +393,7 @@
     const std::string command = RunCommand(root);
     process_ = ::fork();
     if (process_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // the sidecar never outlives the case
       const int log = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT, 0600);
       ::dup2(log, 1);
       ::dup2(log, 2);
