--- a/review/common.hpp
+++ b/review/common.hpp
@@ -275,6 +275,8 @@
     double work = 0.02;                             // seconds from the last byte to the answer
     int receive_buffer = 0;                         // 0: the default
     std::function<void(std::size_t)> body_pace{};  // called after each piece of a body that was read
+    std::size_t answer_bytes = 0;                   // 0: a short answer
+    double answer_pause = 0;                        // seconds before the answer's last byte
   };
 
   Upstream(std::string id, Record& record, Options options)
@@ -302,7 +304,12 @@
       const std::string id = request.Header("x-request-id");
       record_.Line("upstream %s ran %s (%zu bytes of body)", id_.c_str(), id.c_str(), request.body.size());
       SleepFor(options_.work);
-      if (!WriteAll(connection, Response(200, "OK", "done " + id))) return;
+      std::string body = "done " + id;
+      if (options_.answer_bytes > body.size()) body.resize(options_.answer_bytes, '.');
+      const std::string answer = Response(200, "OK", body);
+      if (!WriteAll(connection, answer.substr(0, answer.size() - 1))) return;
+      SleepFor(options_.answer_pause);
+      if (!WriteAll(connection, answer.substr(answer.size() - 1))) return;
     }
   }
 
@@ -374,16 +381,11 @@
     int sockets;
   };
 
-  // `admin`: with a second address for operators. `old`: the new process has its address for clients and its $TMPDIR,
-  // as in an upgrade; it has to outlive this object.
-  Sidecar(const std::string& root, const Discovery& discovery, Limits limits, bool admin = false,
-          const Sidecar* old = nullptr)
-      : port_(old != nullptr ? old->port_ : FreePort()), admin_port_(admin ? FreePort() : 0) {
+  Sidecar(const std::string& root, const Discovery& discovery, Limits limits) : port_(FreePort()) {
     std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     if (::mkdtemp(pattern.data()) == nullptr) throw CannotRun("no temporary folder");
     folder_ = pattern;
-    temporary_ = old != nullptr ? old->temporary_ : folder_ + "/tmp";
-    std::filesystem::create_directories(temporary_);
+    std::filesystem::create_directory(folder_ + "/tmp");
     const std::string address = "127.0.0.1:" + std::to_string(port_);
     const std::string discovery_address = "127.0.0.1:" + std::to_string(discovery.port());
     std::ofstream(folder_ + "/config.json")
@@ -401,9 +403,8 @@
       ::setenv("LB_LISTEN", address.c_str(), 1);
       ::setenv("LB_DISCOVERY", discovery_address.c_str(), 1);
       ::setenv("LB_CONFIG", (folder_ + "/config.json").c_str(), 1);
-      ::setenv("TMPDIR", temporary_.c_str(), 1);
+      ::setenv("TMPDIR", (folder_ + "/tmp").c_str(), 1);
       ::unsetenv("LB_ADMIN");
-      if (admin) ::setenv("LB_ADMIN", ("127.0.0.1:" + std::to_string(admin_port_)).c_str(), 1);
       if (::chdir(root.c_str()) == 0) ::execl("/bin/sh", "sh", "-c", command.c_str(), nullptr);
       ::_exit(127);
     }
@@ -418,25 +419,40 @@
   void Signal(int number) {
     if (IsRunning()) ::kill(process_, number);
   }
-  // GET /ready at the operators' address.
-  bool IsReady() const { return Ask(admin_port_, "/ready", 1) == 200; }
-  // The number of descriptors that the process holds, for the record.
-  int Descriptors() {
-    if (!IsRunning()) return 0;
-    std::error_code ignored;
-    const std::filesystem::directory_iterator all("/proc/" + std::to_string(process_) + "/fd", ignored);
-    return static_cast<int>(std::distance(begin(all), end(all)));
-  }
   int port() const { return port_; }
 
   // GET /up at the clients' address, as the application asks before it starts. Returns the status, 0 for none.
-  int Up(double patience) const { return Ask(port_, "/up", patience); }
+  int Up(double patience) const {
+    const int connection = Connect(port_);
+    if (connection < 0) return 0;
+    int status = 0;
+    Reader reader(connection);
+    Reader::Message answer;
+    if (WriteAll(connection, "GET /up HTTP/1.1\r\nHost: api.internal\r\n\r\n") &&
+        reader.Read(answer, Now() + patience) == ReadStatus::kMessage) {
+      status = answer.status();
+    }
+    ::close(connection);
+    return status;
+  }
   void AwaitUp() const {
     for (const double until = Now() + 30; Now() < until; SleepFor(0.05)) {
       if (Up(1) == 200) return;
     }
     throw CannotRun("the sidecar is not ready after 30 s");
   }
+  // The memory of the process that no file backs, in bytes: less than what the platform counts.
+  std::size_t Memory() {
+    if (!IsRunning()) return 0;
+    std::ifstream file("/proc/" + std::to_string(process_) + "/status");
+    std::size_t sum = 0;
+    for (std::string line; std::getline(file, line);) {
+      if (line.starts_with("RssAnon:") || line.starts_with("RssShmem:")) {
+        sum += std::strtoul(line.c_str() + line.find(':') + 1, nullptr, 10) * 1024;
+      }
+    }
+    return sum;
+  }
   bool IsRunning() {
     if (process_ > 0 && ::waitpid(process_, nullptr, WNOHANG) == process_) process_ = -1;
     return process_ > 0;
@@ -457,24 +473,8 @@
     throw CannotRun("no command `run` in deploy/balancer.toml");
   }
 
-  static int Ask(int port, const std::string& path, double patience) {
-    const int connection = Connect(port);
-    if (connection < 0) return 0;
-    int status = 0;
-    Reader reader(connection);
-    Reader::Message answer;
-    if (WriteAll(connection, "GET " + path + " HTTP/1.1\r\nHost: api.internal\r\n\r\n") &&
-        reader.Read(answer, Now() + patience) == ReadStatus::kMessage) {
-      status = answer.status();
-    }
-    ::close(connection);
-    return status;
-  }
-
   const int port_;
-  const int admin_port_;
   std::string folder_;
-  std::string temporary_;
   std::atomic<pid_t> process_{-1};
 };
 
