Reject a chunk line or trailers that fill the read buffer

Cause: Beast parses a chunk's line, and the trailers, only as a whole. Once they filled the 32 KiB that a connection reads ahead, RequestFraming asked for more bytes and ClientConnection read none. The bytes left in the kernel then excused the connection from its time limit, from eviction and from draining: all three take unread bytes for a sign that this process is slow.

Change: an element that fills the buffer is a fault (400, close). Unread bytes excuse a connection only while a read is pending.

--- a/sidecar/client_connection.cpp
+++ b/sidecar/client_connection.cpp
@@ -100,14 +100,14 @@
 void ClientConnection::HandleDeadline(TimePoint now) {
   const Duration age = now - activity_.state_since;
   if (body_.IsStreaming() || (state_ == State::kReadingRequest && HasRequestBegun())) {
-    if (!IsRequestOverdue(now) || HasUnreadBytes()) return;
+    if (!IsRequestOverdue(now) || HasBytesAboutToBeRead()) return;
     return Reject({http::status::request_timeout, "request did not come in time"});
   }
   switch (state_) {
     case State::kReadingRequest:
       // A response is sent rather than just a close, so that a first request that is already on its way to
       // the sidecar gets a response.
-      if (HasAnyRequestBegun() || age <= kFirstRequestTimeout || HasUnreadBytes()) return;
+      if (HasAnyRequestBegun() || age <= kFirstRequestTimeout || HasBytesAboutToBeRead()) return;
       return Reject({http::status::request_timeout, "no request came in time"});
     case State::kLingering:
       if (age > linger_.timeout) Close();
--- a/sidecar/client_connection.h
+++ b/sidecar/client_connection.h
@@ -115,6 +115,9 @@
   bool HasAnyRequestBegun() const { return framing_.HasAnyRequestBegun(); }
   // Whether bytes have arrived in the kernel's receive buffer that were not read yet.
   bool HasUnreadBytes();
+  // Whether such bytes will be read as soon as the event loop runs: the connection appears slow or idle only
+  // because this process is. False while reading has stopped, as then nothing ends that state but its limit.
+  bool HasBytesAboutToBeRead() { return reader_.IsReading() && HasUnreadBytes(); }
   // Whether some bytes written have not been acknowledged by the client's machine: a close could lose them.
   bool HasUnsentBytes();
 
--- a/sidecar/connection_eviction.cpp
+++ b/sidecar/connection_eviction.cpp
@@ -51,11 +51,11 @@
 }
 
 bool EvictConnection(const ClientConnections& connections, TimePoint now) {
-  // Connections with bytes that were not read yet: they appear slow or idle only because this process is. Few
-  // are, so HasUnreadBytes() is called only for the connection that would be closed next.
+  // Connections whose bytes are about to be read. Few are, so HasBytesAboutToBeRead() is called only for the
+  // connection that would be closed next.
   std::set<ClientConnection*> unread;
   while (const auto candidate = FindLowestPriority(connections, unread, now)) {
-    if (candidate->state() == State::kReadingRequest && candidate->HasUnreadBytes()) {
+    if (candidate->state() == State::kReadingRequest && candidate->HasBytesAboutToBeRead()) {
       unread.insert(candidate.get());
       continue;
     }
--- a/sidecar/request_framing.cpp
+++ b/sidecar/request_framing.cpp
@@ -125,6 +125,9 @@
     step.outcome = Outcome::kRequestComplete;
   } else if (used > 0) {
     step.outcome = Outcome::kProgress;
+  } else if (buffer.size() == buffer.max_size()) {
+    step.outcome = Outcome::kFault;
+    step.fault = {http::status::bad_request, "chunk line or trailers too long"};
   }
 }
 
--- a/sidecar/request_framing.h
+++ b/sidecar/request_framing.h
@@ -64,7 +64,9 @@
   // Resets the state for the next request of the connection.
   void StartRequest();
 
-  // Consumes the next part of the request from `buffer`, which must not be empty.
+  // Consumes the next part of the request from `buffer`, which must not be empty. A chunk's line, and the
+  // trailers, can be parsed only as a whole: one that fills `buffer` to its max_size() is a fault, as no more
+  // bytes could be received. So kNeedsBytes is never returned for a full buffer.
   Step Next(boost::beast::flat_buffer& buffer, Piece& piece);
 
   // Checks a complete request: its head, which now includes the trailers, and `next_bytes`, the bytes
--- a/tests/descriptor_limit_test.cpp
+++ b/tests/descriptor_limit_test.cpp
@@ -104,6 +104,23 @@
   for (const auto& client : silent) EXPECT_TRUE(client->wire.ReadUntilClosed());
 }
 
+// Guards against peers that take a descriptor for good: their chunk's line never ends, and fills the buffer.
+// All of them stay connected, also beyond the time at which a stalled request is rejected.
+TEST_F(DescriptorLimitTest, PeersWhoseChunkLineNeverEndsAreRejected) {
+  const std::string request = PostText("/submit/k", "", "", 5000, "Transfer-Encoding: chunked\r\n");
+  const std::string head = request.substr(0, request.find("Content-Length"));
+  std::vector<std::unique_ptr<Client>> peers;
+  for (int i = 0; i < 2 * kLimit; ++i) {
+    peers.push_back(std::make_unique<Client>(sidecar_.port()));
+    ASSERT_TRUE(peers.back()->Send(head + "\r\n" + std::string(64000, 'x'))) << i;
+    ASSERT_TRUE(Eventually([&] { return peers.back()->wire.socket.available() > 0; })) << i;
+  }
+  Client usual_client(sidecar_.port());
+  const auto response = usual_client.Get("/page/k", "usual");
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->result_int(), 200U);
+}
+
 // Idle clients take all descriptors meant for clients while discovery is down. The connections to discovery,
 // to upstreams and of the admin interface use other descriptors.
 TEST(DescriptorLimit, IdleClientsLeaveCapacityForDiscoveryUpstreamsAndAdmin) {
--- a/tests/sidecar/request_framing_test.cpp
+++ b/tests/sidecar/request_framing_test.cpp
@@ -38,6 +38,11 @@
     return Frame();
   }
 
+  // Receives as many of these bytes as leave room for `room` bytes in the buffer.
+  Outcome FillBuffer(char byte, std::size_t room) {
+    return Frame(std::string(buffer_.max_size() - buffer_.size() - room, byte));
+  }
+
   boost::beast::flat_buffer buffer_{kMaxReadAhead};
   RequestFraming framing_;
   std::string body_;
@@ -91,6 +96,24 @@
   EXPECT_FALSE(framing_.CheckComplete({}));
 }
 
+// Guards against a connection that waits for the end of a chunk's line for ever: nothing more can be read
+// once the buffer is full.
+TEST_F(RequestFramingTest, RejectsAChunkLineThatDoesNotFitInTheBuffer) {
+  Frame(Post("Transfer-Encoding: chunked\r\n", ""));
+
+  EXPECT_EQ(FillBuffer('x', 1), Outcome::kNeedsBytes);
+  EXPECT_EQ(Frame("x"), Outcome::kFault);
+  EXPECT_EQ(fault_.status, http::status::bad_request);
+}
+
+TEST_F(RequestFramingTest, RejectsTrailersThatDoNotFitInTheBuffer) {
+  Frame(Post("Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\nX-Trailer: "));
+
+  EXPECT_EQ(FillBuffer('t', 1), Outcome::kNeedsBytes);
+  EXPECT_EQ(Frame("t"), Outcome::kFault);
+  EXPECT_EQ(fault_.status, http::status::bad_request);
+}
+
 TEST_F(RequestFramingTest, SkipsOneEmptyLineBeforeARequest) {
   EXPECT_EQ(Frame("\r\n"), Outcome::kProgress);
   EXPECT_FALSE(framing_.HasRequestBegun());
