Bound the memory of messages in flight by the memory limit

Cause: a body or response of up to 64 KiB is held whole so that it can be sent, or asked for, again. The read buffers of clients whose streamed body waits for capacity (32 KiB each, whatever the limit) broke the limit on their own.

Change: MemoryBudget counts the bytes of all messages in flight; the charge moves with the bytes (HeldBytes). While it is exhausted, a body or response over 4 KiB is streamed instead of held, and the log says message_memory_exhausted; no request is refused for it. A connection reads no further ahead of a full stream than the stream's capacity, which is now reckoned with all three buffers of a stream. Error responses, which nobody reads, are counted and dropped. A request's bytes are moved into its stream, not copied.

request_validation_test takes its requests by pointer now: a message moves and can't be copied.

--- a/settings/config.cpp
+++ b/settings/config.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fstream>
+#include <limits>
 #include <utility>
 
 #include "settings/settings_reader.h"
@@ -22,6 +23,9 @@
 // connection reads at once.
 constexpr std::size_t kMinStreamCapacity = std::size_t{4} * 1024;
 constexpr std::size_t kMaxStreamCapacity = std::size_t{32} * 1024;
+constexpr double kBuffersPerStream = 3;
+// In bytes: what a client's connection, its upstream's connection and its request take beside the bodies.
+constexpr double kConnectionMemory = 20 * 1024;
 
 std::string Variable(const std::function<const char*(const char*)>& get_variable, const char* name) {
   const char* value = get_variable(name);
@@ -74,18 +78,36 @@
   return sockets;
 }
 
-// The bytes buffered of each streamed body: all buffers together use an eighth of the memory if every second
-// socket carries a streamed body.
-std::size_t StreamCapacity(const json& file, std::size_t sockets) {
+// The memory limit in bytes; none if the file gives none.
+std::optional<double> MemoryLimit(const json& file) {
   const json& limits = file.at("limits");
   const auto field = limits.find("memory_mb");
-  if (field == limits.end()) return kMaxStreamCapacity;
+  if (field == limits.end()) return std::nullopt;
   if (!field->is_number() || !(field->get<double>() > 0))
     throw ConfigError("LB_CONFIG: limits.memory_mb is not a positive number");
-  const double share = field->get<double>() * 1024 * 1024 / 8 / (static_cast<double>(sockets) / 2);
+  return field->get<double>() * 1024 * 1024;
+}
+
+// Clients may hold half of the sockets.
+double MaxClients(std::size_t sockets) { return static_cast<double>(sockets) / 2; }
+
+// The bytes buffered of each streamed body. Up to kBuffersPerStream buffers hold as much: read ahead, waiting
+// in the stream, and being written. All of them together use a quarter of the memory if every client has a
+// streamed body.
+std::size_t StreamCapacity(std::optional<double> memory, std::size_t sockets) {
+  if (!memory) return kMaxStreamCapacity;
+  const double share = *memory / 4 / kBuffersPerStream / MaxClients(sockets);
   return static_cast<std::size_t>(std::clamp<double>(share, kMinStreamCapacity, kMaxStreamCapacity));
 }
 
+// The bytes of all messages in flight from which none is held whole any more. Beside them there has to be
+// memory for the program, the endpoint list, and the connections with their streams.
+std::size_t MessageMemory(std::optional<double> memory, std::size_t sockets) {
+  if (!memory) return std::numeric_limits<std::size_t>::max();
+  const double share = *memory / 2 - MaxClients(sockets) * kConnectionMemory;
+  return static_cast<std::size_t>(std::max(share, *memory / 8));
+}
+
 // The environment takes precedence over the file: during a hot restart, each process gets its own admin
 // address from its environment.
 std::optional<Endpoint> AdminAddress(const std::function<const char*(const char*)>& get_variable,
@@ -142,7 +164,9 @@
     config.state_folder = std::string(folder) + "/" + kStateFolder;
   }
   config.sockets = SocketLimit(file);
-  config.stream_capacity = StreamCapacity(file, config.sockets);
+  const std::optional<double> memory = MemoryLimit(file);
+  config.stream_capacity = StreamCapacity(memory, config.sockets);
+  config.message_memory = MessageMemory(memory, config.sockets);
   config.settings = ReadSettings(file);
   // The file takes precedence over LB_DISCOVERY: the file can be replaced while the process runs, the
   // environment cannot, so the file is more recent.
--- a/settings/config.h
+++ b/settings/config.h
@@ -37,6 +37,7 @@
   std::uint64_t seed = 0;           // of the sidecar's random number generators
   std::size_t sockets = 0;          // maximum number of open file descriptors
   std::size_t stream_capacity = 0;  // maximum bytes buffered of one streamed body
+  std::size_t message_memory = 0;   // bytes of all messages in flight from which none is held whole
   nlohmann::json known;             // last known endpoint list, in discovery's JSON format; null: none
   Settings settings;
 };
--- a/sidecar/body_stream.h
+++ b/sidecar/body_stream.h
@@ -10,10 +10,10 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <string>
 #include <utility>
 
 #include "sidecar/clock.h"
+#include "sidecar/held_bytes.h"
 
 namespace lb::sidecar {
 
@@ -25,9 +25,11 @@
   using Hook = std::function<void()>;
 
   // `capacity`: number of buffered bytes from which the writer must wait. `length`: bytes of the whole body,
-  // if known in advance.
-  BodyStream(boost::asio::io_context& io, std::size_t capacity, boost::optional<std::uint64_t> length)
-      : io_(io), capacity_(capacity), length_(length) {}
+  // if known in advance. The buffered bytes are charged to `budget`, which may be null; as `capacity` bounds
+  // them, a stream goes on while the budget is exhausted.
+  BodyStream(boost::asio::io_context& io, std::size_t capacity, boost::optional<std::uint64_t> length,
+             std::shared_ptr<MemoryBudget> budget = nullptr)
+      : io_(io), capacity_(capacity), length_(length), buffered_(std::move(budget)) {}
 
   boost::optional<std::uint64_t> length() const { return length_; }
 
@@ -36,7 +38,12 @@
   Hook on_capacity;  // called when the reader has read or abandoned the stream
   bool HasCapacity() const { return buffered_.size() < capacity_; }
   void Write(const char* bytes, std::size_t size) {
-    buffered_.append(bytes, size);
+    buffered_.Append(bytes, size);
+    PostHook(&BodyStream::on_data);
+  }
+  // Starts the stream with bytes that were held before. Must be the first write.
+  void Start(HeldBytes held) {
+    buffered_ = std::move(held);
     PostHook(&BodyStream::on_data);
   }
   // Returns the last time at which more of the body was known to be still incoming. Called until MarkSent().
@@ -73,10 +80,11 @@
   TimePoint EarliestLastByte() const {
     return sent_at_ ? *sent_at_ : last_seen_incoming ? last_seen_incoming() : Now();
   }
-  std::string Read() {
+  HeldBytes Read() {
     consumed_ = consumed_ || !buffered_.empty();
     PostHook(&BodyStream::on_capacity);
-    return std::exchange(buffered_, {});
+    HeldBytes read = std::move(buffered_);
+    return read;
   }
   bool fully_read() const { return finished_ && buffered_.empty(); }
   bool aborted() const { return aborted_; }
@@ -103,7 +111,7 @@
   std::optional<TimePoint> sent_at_;
   const std::size_t capacity_;
   const boost::optional<std::uint64_t> length_;
-  std::string buffered_;
+  HeldBytes buffered_;
   bool finished_ = false;
   bool aborted_ = false;
   bool abandoned_ = false;
--- a/sidecar/client_connection.cpp
+++ b/sidecar/client_connection.cpp
@@ -6,6 +6,7 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <chrono>
@@ -39,7 +40,8 @@
       writer_(socket_, [this](ResponseWriter::Outcome outcome) { HandleResponseWritten(outcome); }),
       probe_(socket_, writer_),
       unread_check_(context.io),
-      body_({[this] { return IsMoreOfBodyIncoming(); }, [this] { HandleBodyCapacity(); }}) {
+      body_({[this] { return IsMoreOfBodyIncoming(); }, [this] { HandleBodyCapacity(); }},
+            context.bodies.budget) {
   buffer_.max_size(kMaxReadAhead);
   activity_.state_since = Now();
 }
@@ -145,13 +147,22 @@
 
 void ClientConnection::Read() {
   if (reader_.IsReading() || state_ == State::kClosed || sending_ended_) return;
-  if (buffer_.size() == buffer_.max_size()) return ScheduleUnreadCheck();
+  if (IsReadAheadFull()) return ScheduleUnreadCheck();
   // Any other event may come before the read completes, as a read is pending in all states. Closing the
   // socket ends the read with an error.
-  reader_.Read(buffer_, kReadSize,
+  const std::size_t limit =
+      body_.IsStreaming() ? std::min(kReadSize, context_->bodies.stream_capacity) : kReadSize;
+  reader_.Read(buffer_, limit,
                [self = shared_from_this()](const IoResult& result) { self->HandleReadResult(result); });
 }
 
+// While the stream of a body has no capacity, more bytes would only wait here instead of in the kernel.
+bool ClientConnection::IsReadAheadFull() const {
+  const bool is_stream_full = body_.IsStreaming() && body_.IsWaitingForCapacity();
+  return buffer_.size() >=
+         (is_stream_full ? std::min(context_->bodies.stream_capacity, kMaxReadAhead) : kMaxReadAhead);
+}
+
 void ClientConnection::HandleReadResult(const IoResult& result) {
   if (state_ == State::kClosed) return;
   if (result.status == IoStatus::kBroken) return Close();
@@ -201,17 +212,17 @@
 void ClientConnection::HandleBodyBytes(string_view bytes) {
   activity_.body_bytes += bytes.size();
   activity_.last_body_byte_at = Now();
-  body_.Append(bytes);
+  body_.Append(bytes, framing_.content_length());
   if (body_.IsTooLargeToHold()) BeginStreamedRequest();
 }
 
 void ClientConnection::BeginStreamedRequest() {
-  const Body stream = body_.StartStream(context_->io, context_->body_capacity, framing_.content_length(),
-                                        activity_.last_body_byte_at, weak_from_this());
+  const Body stream =
+      body_.StartStream(context_->io, context_->bodies.stream_capacity, framing_.content_length(),
+                        activity_.last_body_byte_at, weak_from_this());
   HttpRequest request;
   request.base() = framing_.head();
   HandleRequest(std::move(request), stream);
-  body_.DiscardHeld();
 }
 
 void ClientConnection::HandleRequestComplete() {
@@ -328,7 +339,7 @@
 }
 
 void ClientConnection::HandleUnreadCheck() {
-  if (buffer_.size() < buffer_.max_size()) return;
+  if (!IsReadAheadFull()) return;
   if (state_ == State::kAwaitingResponse) {
     RecordLastByteTime();
     const bool probed = probe_.state() != HalfCloseProbe::State::kNotSent;
--- a/sidecar/client_connection.h
+++ b/sidecar/client_connection.h
@@ -53,6 +53,7 @@
 #include "sidecar/descriptors.h"
 #include "sidecar/drain_state.h"
 #include "sidecar/half_close_probe.h"
+#include "sidecar/memory_budget.h"
 #include "sidecar/request_body.h"
 #include "sidecar/request_framing.h"
 #include "sidecar/request_handler.h"
@@ -67,7 +68,7 @@
 struct ClientConnectionContext {
   boost::asio::io_context& io;
   Descriptors& descriptors;
-  const std::size_t body_capacity;  // of a streamed request body, in bytes
+  const BodyBuffering bodies;  // of requests
   const OnRequest on_request;
   const std::function<bool()> is_ready;  // GET /up answers 503 until this returns true
   // Called when a connection is closed, to remove it from the listener's set.
@@ -123,6 +124,8 @@
 
  private:
   void Read();
+  // Whether nothing more is read until bytes of the buffer have been consumed.
+  bool IsReadAheadFull() const;
   void HandleReadResult(const IoResult& result);
   void ProcessBufferedBytes();
   void ParseRequest();
--- a/sidecar/discovery_call.h
+++ b/sidecar/discovery_call.h
@@ -6,6 +6,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <memory>
--- a/sidecar/http.h
+++ b/sidecar/http.h
@@ -4,20 +4,24 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/span_body.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <string>
 
+#include "sidecar/held_bytes.h"
+
 namespace lb::sidecar {
 
 namespace http = boost::beast::http;
 
-using HttpRequest = http::request<http::string_body>;
-using HttpResponse = http::response<http::string_body>;
+using HttpRequest = http::request<HeldBody>;
+using HttpResponse = http::response<HeldBody>;
 
 // In bytes. A body up to this size is held in memory, so that it can be sent again; a larger one is streamed.
 constexpr std::uint64_t kMaxBufferedBody = std::uint64_t{64} * 1024;
+// In bytes. While the memory budget is exhausted, only a body up to this size is held; a stream would take no
+// less.
+constexpr std::size_t kMinBufferedBody = std::size_t{4} * 1024;
 // The largest streamed body, in bytes.
 constexpr std::uint64_t kMaxStreamedBody = std::uint64_t{32} * 1024 * 1024;
 // How many bytes of a body are parsed at a time.
--- a/sidecar/listener.cpp
+++ b/sidecar/listener.cpp
@@ -36,8 +36,8 @@
 }  // namespace
 
 Listener::Listener(boost::asio::io_context& io, const Endpoint& endpoint, bool shared,
-                   std::optional<int> listening, std::size_t body_capacity, Descriptors& descriptors,
-                   Logger& log, OnRequest on_request, std::function<bool()> is_ready)
+                   std::optional<int> listening, BodyBuffering bodies, Descriptors& descriptors, Logger& log,
+                   OnRequest on_request, std::function<bool()> is_ready)
     : descriptors_(descriptors),
       log_(log),
       acceptor_(io),
@@ -51,7 +51,7 @@
       context_{
           io,
           descriptors,
-          body_capacity,
+          std::move(bodies),
           std::move(on_request),
           std::move(is_ready),
           [this](const std::shared_ptr<ClientConnection>& connection) { connections_.erase(connection); },
--- a/sidecar/listener.h
+++ b/sidecar/listener.h
@@ -17,6 +17,7 @@
 #include "sidecar/connection_eviction.h"
 #include "sidecar/descriptors.h"
 #include "sidecar/log.h"
+#include "sidecar/memory_budget.h"
 #include "sidecar/request_handler.h"
 
 namespace lb::sidecar {
@@ -30,11 +31,10 @@
   using OnRequest = lb::sidecar::OnRequest;
 
   // Binds and listens on `endpoint`, or takes over `listening`, the descriptor of a socket that is listening
-  // already. `shared`: other processes may bind the same address (SO_REUSEPORT). `body_capacity`: how many
-  // bytes of a streamed request body a connection buffers. `is_ready`: GET /up answers 503 until this returns
-  // true. Throws boost::system::system_error.
+  // already. `shared`: other processes may bind the same address (SO_REUSEPORT). `bodies`: of the requests.
+  // `is_ready`: GET /up answers 503 until this returns true. Throws boost::system::system_error.
   Listener(boost::asio::io_context& io, const Endpoint& endpoint, bool shared, std::optional<int> listening,
-           std::size_t body_capacity, Descriptors& descriptors, Logger& log, OnRequest on_request,
+           BodyBuffering bodies, Descriptors& descriptors, Logger& log, OnRequest on_request,
            std::function<bool()> is_ready);
   ~Listener();
   Listener(const Listener&) = delete;
--- a/sidecar/request_body.h
+++ b/sidecar/request_body.h
@@ -1,5 +1,6 @@
 // The body of a client's request while it arrives. A body of up to kMaxBufferedBody is held in memory, so
-// that it can be sent to another upstream; a larger one is streamed to the upstream.
+// that it can be sent to another upstream; a larger one is streamed to the upstream. While the memory budget
+// is exhausted, a body over kMinBufferedBody is streamed, too.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -9,12 +10,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <string>
 #include <utility>
 
 #include "sidecar/body_stream.h"
 #include "sidecar/clock.h"
+#include "sidecar/held_bytes.h"
 #include "sidecar/http.h"
+#include "sidecar/memory_budget.h"
 
 namespace lb::sidecar {
 
@@ -27,21 +29,24 @@
     std::function<void()> on_capacity;
   };
 
-  explicit RequestBody(Owner owner) : owner_(std::move(owner)) {}
+  // `budget`: that the body is charged to; may be null.
+  explicit RequestBody(Owner owner, std::shared_ptr<MemoryBudget> budget = nullptr)
+      : owner_(std::move(owner)), budget_(std::move(budget)), held_(budget_) {}
 
   // ---- A body that is held in memory ----
 
-  void Append(boost::beast::string_view bytes);
-  bool IsTooLargeToHold() const { return !stream_ && held_.size() > kMaxBufferedBody; }
-  std::string TakeHeld() { return std::move(held_); }
+  // `length`: of the whole body, if known.
+  void Append(boost::beast::string_view bytes, boost::optional<std::uint64_t> length = boost::none);
+  // Whether the body has to be streamed.
+  bool IsTooLargeToHold() const;
+  HeldBytes TakeHeld() { return std::move(held_); }
   // Frees the memory, as most connections are idle most of the time.
-  void DiscardHeld();
+  void DiscardHeld() { held_.Clear(); }
 
   // ---- A body that is streamed, until its last byte has been received ----
 
-  // Starts a stream with a copy of the bytes held, which are kept until DiscardHeld(). `length`: of the whole
-  // body, if known. `last_byte_at`: when the last byte so far was received. The functions of Owner are called
-  // only while `owner` is alive.
+  // Starts a stream with the bytes held. `length`: of the whole body, if known. `last_byte_at`: when the last
+  // byte so far was received. The functions of Owner are called only while `owner` is alive.
   Body StartStream(boost::asio::io_context& io, std::size_t capacity, boost::optional<std::uint64_t> length,
                    TimePoint last_byte_at, const std::weak_ptr<void>& owner);
   bool IsStreaming() const { return stream_ != nullptr; }
@@ -63,7 +68,8 @@
   void Detach();
 
   const Owner owner_;
-  std::string held_;
+  const std::shared_ptr<MemoryBudget> budget_;
+  HeldBytes held_;
   Body stream_;
   TimePoint last_seen_incoming_;
   bool waits_for_capacity_ = false;
--- a/sidecar/request_writer.cpp
+++ b/sidecar/request_writer.cpp
@@ -68,7 +68,7 @@
   is_writing_ = true;
   auto on_completed = Completion(std::move(on_written), piece_end_);
   const bool is_chunked = !body_->length();
-  const auto bytes = boost::asio::buffer(piece_);
+  const auto bytes = boost::asio::buffer(piece_.data(), piece_.size());
   if (!is_chunked) {
     boost::asio::async_write(stream_, bytes, std::move(on_completed));
   } else if (piece_.empty()) {
@@ -82,7 +82,7 @@
   serializer_.reset();
   message_.reset();
   body_ = nullptr;
-  piece_ = {};
+  piece_.Clear();
   is_complete_ = false;
 }
 
--- a/sidecar/request_writer.h
+++ b/sidecar/request_writer.h
@@ -10,10 +10,10 @@
 #include <cstddef>
 #include <functional>
 #include <optional>
-#include <string>
 
 #include "sidecar/body_stream.h"
 #include "sidecar/clock.h"
+#include "sidecar/held_bytes.h"
 #include "sidecar/http.h"
 #include "sidecar/write_stream.h"
 
@@ -67,7 +67,7 @@
   std::optional<Message> message_;
   std::optional<http::request_serializer<http::span_body<const char>>> serializer_;
   Body body_;
-  std::string piece_;
+  HeldBytes piece_;
   LastByte piece_end_ = LastByte::kFollows;
   bool is_writing_ = false;  // from the start of a write to its completion
   bool is_complete_ = false;
--- a/sidecar/response_body.cpp
+++ b/sidecar/response_body.cpp
@@ -1,14 +1,17 @@
 #include "sidecar/response_body.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
-#include "sidecar/http.h"
-
 namespace lb::sidecar {
 
 std::size_t ResponseBody::PartSize() { return kBodyPieceSize; }
 
+void ResponseBody::ExpectLength(std::uint64_t length) {
+  if (!collected_.IsBudgetExhausted()) collected_.Reserve(std::min(length, kMaxBufferedBody));
+}
+
 char* ResponseBody::PreparePart() {
   part_.resize(PartSize());
   return part_.data();
@@ -18,22 +21,15 @@
   if (stream_) {
     stream_->Write(part_.data(), size);
   } else {
-    collected_.append(part_, 0, size);
+    collected_.Append(part_.data(), size);
   }
 }
 
-std::string ResponseBody::TakeCollected() {
-  std::string collected = std::move(collected_);
-  collected_.clear();
-  return collected;
-}
-
 Body ResponseBody::StartStreaming(boost::asio::io_context& io, std::size_t capacity,
                                   boost::optional<std::uint64_t> length, BodyStream::Hook on_capacity) {
-  stream_ = std::make_shared<BodyStream>(io, capacity, length);
+  stream_ = std::make_shared<BodyStream>(io, capacity, length, budget_);
   stream_->on_capacity = std::move(on_capacity);
-  if (!collected_.empty()) stream_->Write(collected_.data(), collected_.size());
-  collected_ = {};
+  if (!collected_.empty()) stream_->Start(std::move(collected_));
   return stream_;
 }
 
@@ -53,7 +49,8 @@
 
 void ResponseBody::Clear() {
   part_ = {};
-  collected_ = {};
+  collected_.Clear();
+  discarded_ = 0;
 }
 
 }  // namespace lb::sidecar
--- a/sidecar/response_body.h
+++ b/sidecar/response_body.h
@@ -5,25 +5,46 @@
 #include <boost/optional.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include "sidecar/body_stream.h"
+#include "sidecar/held_bytes.h"
+#include "sidecar/http.h"
+#include "sidecar/memory_budget.h"
 
 namespace lb::sidecar {
 
 // Collects the body, so that another upstream can still answer if this response breaks off. After
 // StartStreaming(), writes each part to the stream and keeps no copy. The owner bounds the size: it starts to
-// stream, or fails the exchange, when more than kMaxBufferedBody has been collected.
+// stream when the body is too large to be collected, or fails the exchange when it can't.
 class ResponseBody {
  public:
+  // `budget`: that the body is charged to; may be null.
+  explicit ResponseBody(std::shared_ptr<MemoryBudget> budget = nullptr)
+      : budget_(std::move(budget)), collected_(budget_) {}
+
+  // Prepares for collecting a body of `length` bytes.
+  void ExpectLength(std::uint64_t length);
   // Returns a buffer of PartSize() bytes for the next read, valid until the next call or Clear().
   char* PreparePart();
   static std::size_t PartSize();
   // Adds the first `size` bytes of that buffer to the body.
   void TakePart(std::size_t size);
 
+  // Drops the first `size` bytes of that buffer: they are counted, but not kept.
+  void DiscardPart(std::size_t size) { discarded_ += size; }
+
   std::size_t collected() const { return collected_.size(); }
-  std::string TakeCollected();
+  // More than kMaxBufferedBody has been collected or discarded.
+  bool IsOverLimit() const { return collected_.size() + discarded_ > kMaxBufferedBody; }
+  // The body should be streamed: it is over the limit, or over kMinBufferedBody while the memory budget is
+  // exhausted.
+  bool IsTooLargeToCollect() const {
+    return IsOverLimit() || (collected_.size() > kMinBufferedBody && collected_.IsBudgetExhausted());
+  }
+  HeldBytes TakeCollected() { return std::move(collected_); }
 
   // Starts to stream, beginning with the collected bytes. Until the body ends, `on_capacity` is called from
   // the event loop when the stream has capacity again or its reader has abandoned it. `capacity` and
@@ -42,9 +63,11 @@
   void Clear();
 
  private:
+  const std::shared_ptr<MemoryBudget> budget_;
   std::string part_;
-  std::string collected_;
-  Body stream_;  // null before StartStreaming() and after Finish() or Abort()
+  HeldBytes collected_;
+  std::size_t discarded_ = 0;  // in bytes
+  Body stream_;                // null before StartStreaming() and after Finish() or Abort()
 };
 
 }  // namespace lb::sidecar
--- a/sidecar/response_writer.cpp
+++ b/sidecar/response_writer.cpp
@@ -158,7 +158,7 @@
   const auto written = [this, owner = owner_.lock()](error_code error, std::size_t) {
     ContinueStream(error);
   };
-  const auto bytes = boost::asio::buffer(piece_);
+  const auto bytes = boost::asio::buffer(piece_.data(), piece_.size());
   if (IsChunked()) return boost::asio::async_write(stream_, http::make_chunk(bytes), written);
   boost::asio::async_write(stream_, bytes, written);
 }
@@ -184,7 +184,7 @@
     if (body_) body_->on_data = nullptr;
     body_ = nullptr;
     serializer_.reset();
-    piece_ = {};
+    piece_.Clear();
     writing_piece_ = false;
     response_ = {};
   }
--- a/sidecar/response_writer.h
+++ b/sidecar/response_writer.h
@@ -13,6 +13,7 @@
 
 #include "sidecar/body_stream.h"
 #include "sidecar/clock.h"
+#include "sidecar/held_bytes.h"
 #include "sidecar/http.h"
 #include "sidecar/write_stream.h"
 
@@ -91,9 +92,9 @@
   std::string pending_interim_;             // rest of an interim response, to be sent before the response
   std::size_t status_line_bytes_sent_ = 0;  // to an HTTP/1.0 client, as probes
   HttpResponse response_;
-  std::optional<http::response_serializer<http::string_body>> serializer_;
-  Body body_;          // the body of a streamed response
-  std::string piece_;  // the part of `body_` that is being written
+  std::optional<http::response_serializer<HeldBody>> serializer_;
+  Body body_;        // the body of a streamed response
+  HeldBytes piece_;  // the part of `body_` that is being written
   bool writing_piece_ = false;
   TimePoint piece_began_at_;
   bool abandoned_ = false;
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -4,6 +4,8 @@
 #include <unistd.h>
 
 #include <boost/system/error_code.hpp>
+#include <chrono>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -13,6 +15,9 @@
 namespace lb::sidecar {
 namespace {
 
+// The memory budget may be exhausted several times a second; a log line each would tell no more.
+constexpr Duration kBudgetLogInterval = std::chrono::seconds(10);
+
 // The listening socket of the previous process, if it is bound to `endpoint`; otherwise it is closed.
 std::optional<int> InheritListener(HotRestart& hot_restart, const Endpoint& endpoint) {
   const auto inherited = hot_restart.InheritListener();
@@ -61,6 +66,8 @@
     : settings_(config.settings),
       log_(config.name),
       descriptors_(config.sockets, FixedDescriptors(config)),
+      bodies_{config.stream_capacity, std::make_shared<MemoryBudget>(
+                                          config.message_memory, [this] { HandleMemoryBudgetExhausted(); })},
       hot_restart_(
           io, config.state_folder, log_,
           {[this] { HandleNeighbourChange(); },
@@ -74,8 +81,7 @@
            }}),
       balancer_clock_(io, [this] { host_.FireDueTimers(); }),
       host_(config.settings, config.seed, balancer_clock_, *this),
-      upstreams_(io, config.settings.limits, config.settings.load_probes_report_load, config.stream_capacity,
-                 descriptors_),
+      upstreams_(io, config.settings.limits, config.settings.load_probes_report_load, bodies_, descriptors_),
       membership_(config.settings.fleet_limits.slow_start_duration, host_, upstreams_, log_),
       discovery_(
           io, config.discovery, DiscoveryMode(config.settings), config.settings.fleet_limits.drain_grace,
@@ -88,8 +94,8 @@
       first_list_timer_(io),
       shutdown_(settings_),
       listener_(
-          io, config.listen, config.admin.has_value(), InheritListener(hot_restart_, config.listen),
-          config.stream_capacity, descriptors_, log_,
+          io, config.listen, config.admin.has_value(), InheritListener(hot_restart_, config.listen), bodies_,
+          descriptors_, log_,
           [this](HttpRequest request, Body body, Listener::SendResponse send_response,
                  Listener::CheckClient check_client) {
             return intake_.AcceptRequest(std::move(request), std::move(body), std::move(send_response),
@@ -148,6 +154,15 @@
   ServeIfAble();
 }
 
+void Sidecar::HandleMemoryBudgetExhausted() {
+  const TimePoint now = Now();
+  if (budget_exhausted_logged_at_ && now - *budget_exhausted_logged_at_ < kBudgetLogInterval) return;
+  budget_exhausted_logged_at_ = now;
+  log_.Write(LogEvent(log_events::kMessageMemoryExhausted)
+                 .With("charged_bytes", bodies_.budget->charged())
+                 .With("limit_bytes", bodies_.budget->limit()));
+}
+
 void Sidecar::ShutDown(std::function<void()> done) {
   const TimePoint last_response_by = shutdown_.Begin(Now());
   intake_.LimitDeadlines(last_response_by);
--- a/sidecar/sidecar.h
+++ b/sidecar/sidecar.h
@@ -26,6 +26,7 @@
 #include "sidecar/listener.h"
 #include "sidecar/log.h"
 #include "sidecar/membership_follower.h"
+#include "sidecar/memory_budget.h"
 #include "sidecar/operator_control.h"
 #include "sidecar/readiness.h"
 #include "sidecar/request_intake.h"
@@ -70,6 +71,7 @@
   // interface. While the previous process of a hot restart runs, this is put off until requests can be
   // forwarded here, and the previous process alone accepts clients.
   void ServeIfAble();
+  void HandleMemoryBudgetExhausted();
   // Called when the other process of a hot restart has connected, started to serve, or ended.
   void HandleNeighbourChange();
 
@@ -87,6 +89,8 @@
   const UnixClock unix_clock_;
   Logger log_;
   Descriptors descriptors_;
+  const BodyBuffering bodies_;
+  std::optional<TimePoint> budget_exhausted_logged_at_;
   HotRestart hot_restart_;
   SteadyBalancerClock balancer_clock_;
   BalancerHost host_;
--- a/sidecar/upstream_connection.cpp
+++ b/sidecar/upstream_connection.cpp
@@ -27,7 +27,8 @@
       slot_(std::in_place, context.descriptors, Descriptors::Side::kUpstream),
       socket_(context.io),
       timer_(context.io),
-      writer_(socket_) {
+      writer_(socket_),
+      body_(context.bodies.budget) {
   buffer_.max_size(kMaxReadAhead);
 }
 
@@ -116,10 +117,10 @@
   timer_.cancel();
   DetachRequestBody();
   const auto on_finished = EndExchange(State::kIdle);
-  const ExchangeResult result = Result(Outcome::kNotSent);
+  ExchangeResult result = Result(Outcome::kNotSent);
   // The idle time is not restarted: the upstream measures it from its last response.
   BecomeIdle(history_.idle_since, history_.idle_since);
-  on_finished(result);
+  on_finished(std::move(result));
 }
 
 // ---- The request's body ----
@@ -177,6 +178,7 @@
       return Fail(Failure::kBroken);
     case HeadAction::kCollectBody:
       state_ = State::kCollectingBody;
+      if (framing_.IsServed()) body_.ExpectLength(framing_.content_length().value_or(0));
       break;
     case HeadAction::kHoldBackBody:
       state_ = State::kHoldingBackBody;
@@ -196,7 +198,7 @@
   auto on_capacity = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->OnStreamCapacity();
   };
-  Body stream = body_.StartStreaming(context_.io, context_.stream_capacity, framing_.content_length(),
+  Body stream = body_.StartStreaming(context_.io, context_.bodies.stream_capacity, framing_.content_length(),
                                      std::move(on_capacity));
   error_code ignored;
   socket_.set_option(boost::asio::socket_base::receive_buffer_size(kStreamReceiveBuffer), ignored);
@@ -233,10 +235,17 @@
   const std::size_t size = ResponseBody::PartSize() - framing_.body_buffer_left();
   // need_buffer means that the part is full.
   if (error && error != http::error::need_buffer) return Fail(Failure::kBroken, error);
-  body_.TakePart(size);
-  if (body_.collected() > kMaxBufferedBody) {
-    if (!framing_.IsServed()) return Fail(Failure::kBroken, http::error::body_limit);
+  // Only a served response is forwarded.
+  if (framing_.IsServed()) {
+    body_.TakePart(size);
+  } else {
+    body_.DiscardPart(size);
+  }
+  const bool can_stream = framing_.IsServed() && exchange_.request.on_response_started;
+  if (can_stream && body_.IsTooLargeToCollect()) {
     StartStreaming();
+  } else if (body_.IsOverLimit()) {
+    return Fail(Failure::kBroken, http::error::body_limit);
   }
   if (!IsClosed()) ReadBody();
 }
--- a/sidecar/upstream_connection.h
+++ b/sidecar/upstream_connection.h
@@ -20,6 +20,7 @@
 #include "sidecar/descriptors.h"
 #include "sidecar/exchange.h"
 #include "sidecar/exchange_deadlines.h"
+#include "sidecar/memory_budget.h"
 #include "sidecar/request_writer.h"
 #include "sidecar/response_body.h"
 #include "sidecar/response_framing.h"
@@ -58,8 +59,8 @@
 //               last one, start the time limit of the response
 //   examine     depending on ResponseFraming: read the next head; to kCollectingBody, kHoldingBackBody or
 //               kStreamingBody; or end
-//   keep        collect the part; beyond kMaxBufferedBody stream a served response (to kStreamingBody) and
-//               end any other
+//   keep        collect the part of a served response, and stream it (to kStreamingBody) once it is too large
+//               to be collected; discard the part of any other, and end it beyond kMaxBufferedBody
 //   stream      to kStreamingBody if some of the body has arrived
 //   wait        set the timer again; at the response's deadline, end
 //   pass on     write the part to the stream; while the stream has no capacity, to kStreamPaused without a
@@ -98,7 +99,7 @@
     Descriptors& descriptors;
     Owner& owner;
     Duration connect_timeout;
-    std::size_t stream_capacity;  // bytes buffered of a streamed response
+    BodyBuffering bodies;  // of responses
   };
 
   // Reserves a file descriptor in `context.descriptors`. `context` must outlive the open connection.
--- a/sidecar/upstreams.cpp
+++ b/sidecar/upstreams.cpp
@@ -24,8 +24,8 @@
 }  // namespace
 
 Upstreams::Upstreams(boost::asio::io_context& io, const lb::Limits& limits, bool load_probes_report_load,
-                     std::size_t stream_capacity, Descriptors& descriptors)
-    : context_{io, descriptors, *this, limits.connect_timeout, stream_capacity},
+                     BodyBuffering bodies, Descriptors& descriptors)
+    : context_{io, descriptors, *this, limits.connect_timeout, std::move(bodies)},
       probe_target_(load_probes_report_load ? kLoadPath : kAlivePath),
       connection_pool_(context_, limits.idle_close) {}
 
@@ -132,7 +132,7 @@
   probe.max_connection_idle = max_connection_idle;
   probe.on_finished = [is_load_in_body, on_finished = std::move(on_finished)](ExchangeResult result) {
     if (is_load_in_body && result.outcome == Outcome::kServed) {
-      result.load = ParseLoadReport(result.response.body());
+      result.load = ParseLoadReport(result.response.body().text());
     }
     on_finished(std::move(result));
   };
--- a/sidecar/upstreams.h
+++ b/sidecar/upstreams.h
@@ -13,6 +13,7 @@
 #include "sidecar/connection_pool.h"
 #include "sidecar/descriptors.h"
 #include "sidecar/exchange.h"
+#include "sidecar/memory_budget.h"
 #include "sidecar/upstream_connection.h"
 #include "sidecar/upstream_location.h"
 
@@ -29,10 +30,9 @@
   using OnFinished = ExchangeRequest::OnFinished;
 
   // `load_probes_report_load`: load probes request the upstream's load report; otherwise they only check that
-  // it responds. `stream_capacity`: bytes buffered of each streamed response. `io` and `descriptors` must
-  // outlive this object.
+  // it responds. `bodies`: of the responses. `io` and `descriptors` must outlive this object.
   Upstreams(boost::asio::io_context& io, const lb::Limits& limits, bool load_probes_report_load,
-            std::size_t stream_capacity, Descriptors& descriptors);
+            BodyBuffering bodies, Descriptors& descriptors);
   // Closes all connections. The callbacks of unfinished exchanges are never called.
   ~Upstreams() override;
   Upstreams(const Upstreams&) = delete;
--- a/tests/client_deadline_test.cpp
+++ b/tests/client_deadline_test.cpp
@@ -148,8 +148,8 @@
   std::optional<Client> client;
   bool asked = false;
   Listener listener(
-      io, Endpoint(boost::asio::ip::make_address("127.0.0.1"), 0), false, std::nullopt, kStreamCapacity,
-      descriptors, log,
+      io, Endpoint(boost::asio::ip::make_address("127.0.0.1"), 0), false, std::nullopt,
+      {kStreamCapacity, nullptr}, descriptors, log,
       [&](const HttpRequest&, const Body&, const Listener::SendResponse&,
           const Listener::CheckClient& check_client) -> Listener::OnDisconnected {
         EXPECT_EQ(check_client(), Listener::ClientPresence::kConnected);
@@ -172,7 +172,7 @@
   boost::asio::io_context io;
   Descriptors descriptors(64);
   lb::Limits limits;
-  Upstreams upstreams(io, limits, false, kStreamCapacity, descriptors);
+  Upstreams upstreams(io, limits, false, {kStreamCapacity, nullptr}, descriptors);
   const auto colon = upstream.address().find(':');
   Location location;
   location.endpoint = Endpoint(boost::asio::ip::make_address("127.0.0.1"),
--- a/tests/sidecar/request_validation_test.cpp
+++ b/tests/sidecar/request_validation_test.cpp
@@ -129,8 +129,8 @@
   HttpRequest too_long = Get("/read");
   too_long.set("X-Request-ID", std::string(129, 'r'));
 
-  for (const auto& request : {missing, twice, too_long}) {
-    EXPECT_EQ(Error(request), "missing or bad X-Request-ID");
+  for (const auto* request : {&missing, &twice, &too_long}) {
+    EXPECT_EQ(Error(*request), "missing or bad X-Request-ID");
   }
 }
 
--- a/tests/sidecar_process.cpp
+++ b/tests/sidecar_process.cpp
@@ -39,7 +39,7 @@
              {"listen", options.listen},
              {"discovery", options.discovery},
              {"seed", "8c1f30d27a5be964"},
-             {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", options.sockets}}},
+             {"limits", {{"cores", 1.0}, {"memory_mb", options.memory_mb}, {"sockets", options.sockets}}},
              {"settings", options.settings}};
   if (!options.known.is_null()) config_["known"] = {{"rev", 0}, {"all", true}, {"targets", options.known}};
   std::ofstream(config_path_) << (options.config_text.empty() ? config_.dump() : options.config_text);
--- a/tests/sidecar_process.h
+++ b/tests/sidecar_process.h
@@ -31,6 +31,7 @@
     json known = nullptr;  // the entries of the known endpoint list; null: none
     json settings = Settings();
     int sockets = 256;
+    int memory_mb = 192;
     std::string listen = "127.0.0.1:0";
     std::string admin;                               // address of the admin interface; empty: none
     std::string tmpdir;                              // $TMPDIR of the process; empty: inherited from the test
