State the rule for holding a body once, and let a stream take the held bytes' budget

RequestBody and ResponseBody each had the two limits and the reservation; IsTooLargeToHold() and ReserveForBody() of http.h serve both. A BodyStream is constructed with the bytes held so far, whose charge brings the budget along, so that neither body keeps the budget beside them.

--- a/sidecar/body_stream.h
+++ b/sidecar/body_stream.h
@@ -25,11 +25,11 @@
   using Hook = std::function<void()>;
 
   // `capacity`: number of buffered bytes from which the writer must wait. `length`: bytes of the whole body,
-  // if known in advance. The buffered bytes are charged to `budget`, which may be null; as `capacity` bounds
-  // them, a stream goes on while the budget is exhausted.
+  // if known in advance. `held`: the first bytes of the body, if some have arrived. The stream charges the
+  // same budget as they do; as `capacity` bounds its bytes, it goes on while the budget is exhausted.
   BodyStream(boost::asio::io_context& io, std::size_t capacity, boost::optional<std::uint64_t> length,
-             std::shared_ptr<MemoryBudget> budget = nullptr)
-      : io_(io), capacity_(capacity), length_(length), buffered_(std::move(budget)) {}
+             HeldBytes held = {})
+      : io_(io), capacity_(capacity), length_(length), buffered_(std::move(held)) {}
 
   boost::optional<std::uint64_t> length() const { return length_; }
 
@@ -41,11 +41,6 @@
     buffered_.Append(bytes, size);
     PostHook(&BodyStream::on_data);
   }
-  // Starts the stream with bytes that were held before. Must be the first write.
-  void Start(HeldBytes held) {
-    buffered_ = std::move(held);
-    PostHook(&BodyStream::on_data);
-  }
   // Returns the last time at which more of the body was known to be still incoming. Called until MarkSent().
   std::function<TimePoint()> last_seen_incoming;
   // Records that the peer sent the last byte of the body at `at` or soon after; some of it may not have been
--- a/sidecar/http.cpp
+++ b/sidecar/http.cpp
@@ -7,6 +7,14 @@
 
 namespace lb::sidecar {
 
+bool IsTooLargeToHold(const HeldBytes& held) {
+  return held.size() > (held.IsBudgetExhausted() ? kMinBufferedBody : kMaxBufferedBody);
+}
+
+void ReserveForBody(HeldBytes& held, std::uint64_t length) {
+  if (!held.IsBudgetExhausted()) held.Reserve(std::min(length, kMaxBufferedBody));
+}
+
 const char* FramingFault(const http::request_header<>& header) {
   if (header.version() != 10 && header.version() != 11) return "unknown version";
   const auto codings = header.count(http::field::transfer_encoding);
--- a/sidecar/http.h
+++ b/sidecar/http.h
@@ -30,6 +30,13 @@
 // How many bytes a connection reads ahead of its parser.
 constexpr std::size_t kMaxReadAhead = std::size_t{32} * 1024;
 
+// Whether a body, of which `held` is what has arrived, has to be streamed instead of being held: it is over
+// kMaxBufferedBody, or over kMinBufferedBody while the memory budget is exhausted.
+bool IsTooLargeToHold(const HeldBytes& held);
+
+// Makes room in `held` for a body of `length` bytes, as far as it may be held.
+void ReserveForBody(HeldBytes& held, std::uint64_t length);
+
 // Checks that the end of a request's body is unambiguous: bytes that one reader takes for the body may
 // contain a request for another reader (request smuggling). Returns a description of the fault, or null if
 // there is none.
--- a/sidecar/request_body.cpp
+++ b/sidecar/request_body.cpp
@@ -1,25 +1,17 @@
 #include "sidecar/request_body.h"
 
-#include <algorithm>
-
 namespace lb::sidecar {
 
 void RequestBody::Append(boost::beast::string_view bytes, boost::optional<std::uint64_t> length) {
   if (stream_) return stream_->Write(bytes.data(), bytes.size());
-  if (held_.empty() && length && !held_.IsBudgetExhausted())
-    held_.Reserve(std::min(*length, kMaxBufferedBody));
+  if (held_.empty() && length) ReserveForBody(held_, *length);
   held_.Append(bytes.data(), bytes.size());
 }
 
-bool RequestBody::IsTooLargeToHold() const {
-  if (stream_) return false;
-  return held_.size() > (held_.IsBudgetExhausted() ? kMinBufferedBody : kMaxBufferedBody);
-}
-
 Body RequestBody::StartStream(boost::asio::io_context& io, std::size_t capacity,
                               boost::optional<std::uint64_t> length, TimePoint last_byte_at,
                               const std::weak_ptr<void>& owner) {
-  stream_ = std::make_shared<BodyStream>(io, capacity, length, budget_);
+  stream_ = std::make_shared<BodyStream>(io, capacity, length, std::move(held_));
   last_seen_incoming_ = last_byte_at;
   stream_->last_seen_incoming = [this, owner] {
     const auto alive = owner.lock();
@@ -29,7 +21,6 @@
     const auto alive = owner.lock();
     if (alive && stream_) owner_.on_capacity();
   };
-  stream_->Start(std::move(held_));
   return stream_;
 }
 
--- a/sidecar/request_body.h
+++ b/sidecar/request_body.h
@@ -31,14 +31,14 @@
 
   // `budget`: that the body is charged to; may be null.
   explicit RequestBody(Owner owner, std::shared_ptr<MemoryBudget> budget = nullptr)
-      : owner_(std::move(owner)), budget_(std::move(budget)), held_(budget_) {}
+      : owner_(std::move(owner)), held_(std::move(budget)) {}
 
   // ---- A body that is held in memory ----
 
   // `length`: of the whole body, if known.
   void Append(boost::beast::string_view bytes, boost::optional<std::uint64_t> length = boost::none);
-  // Whether the body has to be streamed.
-  bool IsTooLargeToHold() const;
+  // Whether the body has to be streamed, and is not yet.
+  bool IsTooLargeToHold() const { return !stream_ && sidecar::IsTooLargeToHold(held_); }
   HeldBytes TakeHeld() { return std::move(held_); }
   // Frees the memory, as most connections are idle most of the time.
   void DiscardHeld() { held_.Clear(); }
@@ -68,7 +68,6 @@
   void Detach();
 
   const Owner owner_;
-  const std::shared_ptr<MemoryBudget> budget_;
   HeldBytes held_;
   Body stream_;
   TimePoint last_seen_incoming_;
--- a/sidecar/response_body.cpp
+++ b/sidecar/response_body.cpp
@@ -1,6 +1,5 @@
 #include "sidecar/response_body.h"
 
-#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -8,10 +7,6 @@
 
 std::size_t ResponseBody::PartSize() { return kBodyPieceSize; }
 
-void ResponseBody::ExpectLength(std::uint64_t length) {
-  if (!collected_.IsBudgetExhausted()) collected_.Reserve(std::min(length, kMaxBufferedBody));
-}
-
 char* ResponseBody::PreparePart() {
   part_.resize(PartSize());
   return part_.data();
@@ -27,9 +22,8 @@
 
 Body ResponseBody::StartStreaming(boost::asio::io_context& io, std::size_t capacity,
                                   boost::optional<std::uint64_t> length, BodyStream::Hook on_capacity) {
-  stream_ = std::make_shared<BodyStream>(io, capacity, length, budget_);
+  stream_ = std::make_shared<BodyStream>(io, capacity, length, std::move(collected_));
   stream_->on_capacity = std::move(on_capacity);
-  if (!collected_.empty()) stream_->Start(std::move(collected_));
   return stream_;
 }
 
--- a/sidecar/response_body.h
+++ b/sidecar/response_body.h
@@ -22,28 +22,23 @@
 class ResponseBody {
  public:
   // `budget`: that the body is charged to; may be null.
-  explicit ResponseBody(std::shared_ptr<MemoryBudget> budget = nullptr)
-      : budget_(std::move(budget)), collected_(budget_) {}
+  explicit ResponseBody(std::shared_ptr<MemoryBudget> budget = nullptr) : collected_(std::move(budget)) {}
 
   // Prepares for collecting a body of `length` bytes.
-  void ExpectLength(std::uint64_t length);
+  void ExpectLength(std::uint64_t length) { ReserveForBody(collected_, length); }
   // Returns a buffer of PartSize() bytes for the next read, valid until the next call or Clear().
   char* PreparePart();
   static std::size_t PartSize();
   // Adds the first `size` bytes of that buffer to the body.
   void TakePart(std::size_t size);
-
   // Drops the first `size` bytes of that buffer: they are counted, but not kept.
   void DiscardPart(std::size_t size) { discarded_ += size; }
 
   std::size_t collected() const { return collected_.size(); }
   // More than kMaxBufferedBody has been collected or discarded.
   bool IsOverLimit() const { return collected_.size() + discarded_ > kMaxBufferedBody; }
-  // The body should be streamed: it is over the limit, or over kMinBufferedBody while the memory budget is
-  // exhausted.
-  bool IsTooLargeToCollect() const {
-    return IsOverLimit() || (collected_.size() > kMinBufferedBody && collected_.IsBudgetExhausted());
-  }
+  // Whether the body should be streamed, and is not yet.
+  bool IsTooLargeToCollect() const { return IsTooLargeToHold(collected_); }
   HeldBytes TakeCollected() { return std::move(collected_); }
 
   // Starts to stream, beginning with the collected bytes. Until the body ends, `on_capacity` is called from
@@ -63,7 +58,6 @@
   void Clear();
 
  private:
-  const std::shared_ptr<MemoryBudget> budget_;
   std::string part_;
   HeldBytes collected_;
   std::size_t discarded_ = 0;  // in bytes
