Share the tests' request head, peak memory and descriptor limit

The memory test repeated the reading of VmHWM (streamed_bodies) and the raising of the descriptor limit (descriptor_limit), and cut the head of a chunked request out of PostText() as descriptor_limit did. They stand once now: SidecarProcess::peak_memory_kib(), RaiseDescriptorLimit(), PostHead(). Assertions and bounds are the same; the streamed bodies' heads have the usual Host.

--- a/tests/descriptor_limit_test.cpp
+++ b/tests/descriptor_limit_test.cpp
@@ -107,12 +107,12 @@
 // Guards against peers that take a descriptor for good: their chunk's line never ends, and fills the buffer.
 // All of them stay connected, also beyond the time at which a stalled request is rejected.
 TEST_F(DescriptorLimitTest, PeersWhoseChunkLineNeverEndsAreRejected) {
-  const std::string request = PostText("/submit/k", "", "", 5000, "Transfer-Encoding: chunked\r\n");
-  const std::string head = request.substr(0, request.find("Content-Length"));
+  const std::string request =
+      PostHead("/submit/k", "", 5000, "Transfer-Encoding: chunked\r\n") + std::string(64000, 'x');
   std::vector<std::unique_ptr<Client>> peers;
   for (int i = 0; i < 2 * kLimit; ++i) {
     peers.push_back(std::make_unique<Client>(sidecar_.port()));
-    ASSERT_TRUE(peers.back()->Send(head + "\r\n" + std::string(64000, 'x'))) << i;
+    ASSERT_TRUE(peers.back()->Send(request)) << i;
     ASSERT_TRUE(Eventually([&] { return peers.back()->wire.socket.available() > 0; })) << i;
   }
   Client usual_client(sidecar_.port());
@@ -125,10 +125,7 @@
 // to upstreams and of the admin interface use other descriptors.
 TEST(DescriptorLimit, IdleClientsLeaveCapacityForDiscoveryUpstreamsAndAdmin) {
   for (const int limit : {64, 256, 1024}) {
-    rlimit files{};
-    ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &files), 0);
-    files.rlim_cur = files.rlim_max;
-    ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &files), 0);
+    ASSERT_TRUE(RaiseDescriptorLimit());
     const Folder folder;
     Upstream upstream(Upstream::Echo("u1"));
     Discovery discovery(List({Target("u1", upstream.address())}));
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -1,10 +1,7 @@
 // The memory of the sidecar program while many messages are in flight at once, with the least memory and the
 // most descriptors that the deployment allows (TERMS, DEPLOY).
-#include <sys/resource.h>
-
 #include <atomic>
 #include <cstddef>
-#include <fstream>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +9,7 @@
 
 #include "gtest/gtest.h"
 #include "tests/peers.h"
+#include "tests/sidecar_steps.h"
 
 namespace lb::sidecar::testing {
 namespace {
@@ -29,24 +27,6 @@
 constexpr std::size_t kUnfinishedLine = 31000;  // fits into what a connection reads ahead
 constexpr int kTimeoutMs = 60000;               // far longer than a busy machine takes
 
-// Returns the peak of the process's resident memory, in MB.
-double PeakMemory(const SidecarProcess& sidecar) {
-  std::ifstream status("/proc/" + std::to_string(sidecar.pid()) + "/status");
-  std::string word;
-  while (status >> word && word != "VmHWM:") {
-  }
-  double kilobytes = 0;
-  status >> kilobytes;
-  return kilobytes / 1024;
-}
-
-void RaiseDescriptorLimit() {
-  rlimit files{};
-  ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &files), 0);
-  files.rlim_cur = files.rlim_max;
-  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &files), 0);
-}
-
 std::string ResponseText(std::size_t body) {
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body) + "\r\n\r\n" + std::string(body, '.');
 }
@@ -59,7 +39,7 @@
  protected:
   // Starts the sidecar and its upstreams, each of which runs `script` for each connection.
   void Start(const Peer::Script& script, bool small_buffers = false) {
-    RaiseDescriptorLimit();
+    ASSERT_TRUE(RaiseDescriptorLimit());
     json targets = json::array();
     for (std::size_t i = 0; i < kUpstreams; ++i) {
       upstreams_.push_back(std::make_unique<Peer>(script, small_buffers));
@@ -108,10 +88,10 @@
   }
 
   void ExpectWithinLimit() {
-    const double peak = PeakMemory(*sidecar_);
-    RecordProperty("peak_memory_mb", std::to_string(peak));
+    const std::size_t peak = sidecar_->peak_memory_kib();
+    RecordProperty("peak_memory_kib", std::to_string(peak));
 #ifndef __SANITIZE_ADDRESS__  // the sanitizer's own memory is not limited
-    EXPECT_LE(peak, kMemoryMb);
+    EXPECT_LE(peak, std::size_t{kMemoryMb} * 1024);
 #endif
   }
 
@@ -198,9 +178,8 @@
   Start(RespondAtOnce);
   Connect(kSockets / 2);
 
-  std::string request = PostText("/submit/k", "p", "", kTimeoutMs, "Transfer-Encoding: chunked\r\n");
-  request.resize(request.find("Content-Length"));
-  request += "\r\n" + std::string(kUnfinishedLine, 'x');
+  const std::string request = PostHead("/submit/k", "p", kTimeoutMs, "Transfer-Encoding: chunked\r\n") +
+                              std::string(kUnfinishedLine, 'x');
   for (const auto& peer : clients_) peer->Send(request);
   for (const auto& peer : clients_) EXPECT_TRUE(peer->wire.ReadUntilClosed());
 
--- a/tests/scripted_peers.cpp
+++ b/tests/scripted_peers.cpp
@@ -227,11 +227,16 @@
          "\r\nX-Timeout-Ms: " + std::to_string(timeout_ms) + "\r\n\r\n";
 }
 
+std::string PostHead(const std::string& target, const std::string& id, int timeout_ms,
+                     const std::string& headers) {
+  return "POST " + target + " HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: " + id +
+         "\r\nX-Timeout-Ms: " + std::to_string(timeout_ms) + "\r\n" + headers + "\r\n";
+}
+
 std::string PostText(const std::string& target, const std::string& id, const std::string& body,
                      int timeout_ms, const std::string& headers) {
-  return "POST " + target + " HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: " + id +
-         "\r\nX-Timeout-Ms: " + std::to_string(timeout_ms) + "\r\n" + headers +
-         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  return PostHead(target, id, timeout_ms, headers + length) + body;
 }
 
 Client::Client(std::uint16_t port) { wire.socket.connect(Loopback(port)); }
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -140,9 +140,11 @@
 // The IPv4 loopback address with this port.
 tcp::endpoint Loopback(std::uint16_t port);
 
-// The text of a GET or POST request to the sidecar, with X-Request-ID and X-Timeout-Ms. `headers` are
-// complete lines, each with its CRLF.
+// The text of a GET or POST request to the sidecar, or of the head of a POST request, with X-Request-ID and
+// X-Timeout-Ms. `headers` are complete lines, each with its CRLF.
 std::string GetText(const std::string& target, const std::string& id, int timeout_ms = 5000);
+std::string PostHead(const std::string& target, const std::string& id, int timeout_ms,
+                     const std::string& headers);
 std::string PostText(const std::string& target, const std::string& id, const std::string& body,
                      int timeout_ms = 5000, const std::string& headers = "");
 
--- a/tests/sidecar_process.cpp
+++ b/tests/sidecar_process.cpp
@@ -146,6 +146,16 @@
   return count;
 }
 
+std::size_t SidecarProcess::peak_memory_kib() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  std::string word;
+  while (status >> word && word != "VmHWM:") {
+  }
+  std::size_t kibibytes = 0;
+  status >> kibibytes;
+  return kibibytes;
+}
+
 Folder::Folder() {
   std::string name = std::filesystem::temp_directory_path() / "lb-sidecar-folder-XXXXXX";
   if (::mkdtemp(name.data()) == nullptr) throw std::runtime_error("mkdtemp");
--- a/tests/sidecar_process.h
+++ b/tests/sidecar_process.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -65,6 +66,8 @@
   std::string log() const;
   // The number of file descriptors that the process has open.
   int descriptors() const;
+  // The peak of the process's resident memory, in KiB.
+  std::size_t peak_memory_kib() const;
 
  private:
   pid_t pid_ = -1;
--- a/tests/sidecar_steps.cpp
+++ b/tests/sidecar_steps.cpp
@@ -1,5 +1,7 @@
 #include "tests/sidecar_steps.h"
 
+#include <sys/resource.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/system/error_code.hpp>
@@ -17,6 +19,13 @@
   return response ? response->result_int() : 0;
 }
 
+bool RaiseDescriptorLimit() {
+  rlimit files{};
+  if (::getrlimit(RLIMIT_NOFILE, &files) != 0) return false;
+  files.rlim_cur = files.rlim_max;
+  return ::setrlimit(RLIMIT_NOFILE, &files) == 0;
+}
+
 void WaitForConnectionReuse() { std::this_thread::sleep_for(kReuseDelay); }
 
 std::size_t BytesAcceptedUnread() {
--- a/tests/sidecar_steps.h
+++ b/tests/sidecar_steps.h
@@ -14,6 +14,10 @@
 // executed, 502 and 504 mean that it may have been executed. Returns 0 without a response.
 unsigned NonIdempotentStatus(const std::string& address, int timeout_ms, std::size_t body = 10);
 
+// Lets this process, and those that it starts, have as many descriptors as the system allows. Returns false
+// if the system refuses.
+[[nodiscard]] bool RaiseDescriptorLimit();
+
 // Waits until the sidecar may reuse an upstream connection on which a response was received.
 void WaitForConnectionReuse();
 
--- a/tests/streamed_bodies_test.cpp
+++ b/tests/streamed_bodies_test.cpp
@@ -2,7 +2,6 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
-#include <fstream>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -20,6 +19,8 @@
 // In bytes; more than the buffers of all sockets hold.
 constexpr std::size_t kLargeBody = std::size_t{32} * 1024 * 1024;
 
+constexpr int kTimeoutMs = 15000;
+
 std::string TextOfSize(std::size_t size) {
   std::string text(size, 'x');
   for (std::size_t i = 0; i < size; i += 97) text[i] = static_cast<char>('a' + i / 97 % 26);
@@ -36,26 +37,12 @@
   return chunks.str();
 }
 
-std::string PostHead(const std::string& target, const std::string& id, const std::string& headers) {
-  return "POST " + target + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Timeout-Ms: 15000\r\n" +
-         headers + "\r\n";
-}
+std::size_t PeakMemoryMb(const SidecarProcess& sidecar) { return sidecar.peak_memory_kib() / 1024; }
 
 bool ReceivesFirstBytes(Client& client) {
   return Eventually([&] { return client.wire.socket.available() > 0; });
 }
 
-// Returns the peak of the process's resident memory, in MB.
-std::size_t PeakMemory(const SidecarProcess& sidecar) {
-  std::ifstream status("/proc/" + std::to_string(sidecar.pid()) + "/status");
-  std::string word;
-  while (status >> word && word != "VmHWM:") {
-  }
-  std::size_t kilobytes = 0;
-  status >> kilobytes;
-  return kilobytes / 1024;
-}
-
 #ifdef __SANITIZE_ADDRESS__
 // In MB. The sanitizer retains freed memory to detect its use.
 constexpr std::size_t kMaxGrowth = 1024;
@@ -83,7 +70,7 @@
   ASSERT_TRUE(sidecar.Listening());
   Client first(sidecar.port());
   ASSERT_TRUE(first.Get("/page/length", "m"));
-  const std::size_t before = PeakMemory(sidecar);
+  const std::size_t before = PeakMemoryMb(sidecar);
   std::vector<std::unique_ptr<Client>> clients;
   for (const char* form : {"length", "chunked", "closed", "length", "chunked"}) {
     clients.push_back(std::make_unique<Client>(sidecar.port()));
@@ -97,7 +84,7 @@
     EXPECT_EQ(response->result_int(), 200U);
     EXPECT_TRUE(response->body() == body);
   }
-  EXPECT_LT(PeakMemory(sidecar), before + kMaxGrowth);
+  EXPECT_LT(PeakMemoryMb(sidecar), before + kMaxGrowth);
 }
 
 TEST(StreamedResponse, ReachesAnHttp10Client) {
@@ -191,12 +178,12 @@
   ASSERT_TRUE(sidecar.Listening());
   Client client(sidecar.port());
   ASSERT_TRUE(client.Post("/submit/k", "s", "x"));
-  const std::size_t before = PeakMemory(sidecar);
+  const std::size_t before = PeakMemoryMb(sidecar);
   const std::string expect_headers =
       "Content-Length: " + std::to_string(kLargeBody) + "\r\nExpect: 100-continue\r\n";
   for (const std::string& text :
-       {PostHead("/submit/k", "a", expect_headers) + body,
-        PostHead("/submit/k", "b", "Transfer-Encoding: chunked\r\n") + ToChunks(body, 50000)}) {
+       {PostHead("/submit/k", "a", kTimeoutMs, expect_headers) + body,
+        PostHead("/submit/k", "b", kTimeoutMs, "Transfer-Encoding: chunked\r\n") + ToChunks(body, 50000)}) {
     ASSERT_TRUE(client.Send(text));
     auto response = client.Read();
     if (response && response->result_int() == 100) response = client.Read();
@@ -204,7 +191,7 @@
     EXPECT_EQ(response->result_int(), 200U);
   }
   EXPECT_EQ(complete_bodies, 2);
-  EXPECT_LT(PeakMemory(sidecar), before + kMaxGrowth);
+  EXPECT_LT(PeakMemoryMb(sidecar), before + kMaxGrowth);
 }
 
 TEST(StreamedRequest, IsRetriedElsewhereIfNoneOfItWasWritten) {
@@ -233,7 +220,8 @@
   SidecarProcess sidecar(With(List({Target("u1", u1.address()), Target("u2", u2.address())})));
   ASSERT_TRUE(sidecar.Listening());
   Client client(sidecar.port());
-  ASSERT_TRUE(client.Send(PostHead("/submit/k", "a", "Content-Length: 1000000\r\n") + TextOfSize(500000)));
+  ASSERT_TRUE(client.Send(PostHead("/submit/k", "a", kTimeoutMs, "Content-Length: 1000000\r\n") +
+                          TextOfSize(500000)));
   const auto response = client.Read();
   ASSERT_TRUE(response);
   EXPECT_EQ(response->result_int(), 503U);
@@ -251,7 +239,8 @@
   ASSERT_TRUE(sidecar.Listening());
   {
     Client client(sidecar.port());
-    ASSERT_TRUE(client.Send(PostHead("/submit/k", "a", "Content-Length: 1000000\r\n") + TextOfSize(500000)));
+    ASSERT_TRUE(client.Send(PostHead("/submit/k", "a", kTimeoutMs, "Content-Length: 1000000\r\n") +
+                            TextOfSize(500000)));
     ASSERT_TRUE(Eventually([&] { return upstream.connections() == 1; }));
   }
   ended.Pass();
@@ -264,9 +253,10 @@
   SidecarProcess sidecar(With(List({Target("u1", upstream.address())})));
   ASSERT_TRUE(sidecar.Listening());
   Client stopping(sidecar.port());
-  ASSERT_TRUE(stopping.Send(PostHead("/submit/k", "a", "Content-Length: 1000000\r\n") + TextOfSize(500000)));
+  ASSERT_TRUE(stopping.Send(PostHead("/submit/k", "a", kTimeoutMs, "Content-Length: 1000000\r\n") +
+                            TextOfSize(500000)));
   Client slow(sidecar.port());
-  ASSERT_TRUE(slow.Send(PostHead("/submit/k", "b", "Content-Length: 200000\r\n")));
+  ASSERT_TRUE(slow.Send(PostHead("/submit/k", "b", kTimeoutMs, "Content-Length: 200000\r\n")));
   const std::string body = TextOfSize(200000);
   for (std::size_t i = 0; i < body.size(); i += 10000) {
     std::this_thread::sleep_for(
