Give a streamed request its deadline while its body waits for a slow upstream

Cause: a streamed request had no deadline until its last byte was parsed or seen in this machine's receive buffer. While the upstream is slower than the client, the sidecar does not read, and what the client has written waits in the kernel, in the client's send buffer, too. The log of a lost request shows 3.198 s counted from 6.6 s after the start.

Change: the deadline is reckoned from a lower bound of the time at which the client sent the last byte (SendTimeBound), anew at least four times a second (RequestIntake::CheckUploadDeadline). Once it has passed, the attempt is ended, whose last byte was not written, so that the request is rejected: 503 with Retry-After. The log says upload_timed_out.

--- a/sidecar/attempt_launcher.cpp
+++ b/sidecar/attempt_launcher.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "sidecar/log_events.h"
 
@@ -95,6 +96,14 @@
   for (const auto exchange : request.attempts) upstreams_.AbandonUnsent(exchange);
 }
 
+// Works on a copy: the end of an attempt may end the request.
+void AttemptLauncher::FailIncomplete(RequestId id) {
+  const InFlightRequest* request = requests_.Find(id);
+  if (!request) return;
+  const std::vector<ExchangeId> attempts = request->attempts;
+  for (const auto exchange : attempts) upstreams_.FailIncomplete(exchange);
+}
+
 // Also kGone if the request has its response already: the client no longer waits.
 Listener::ClientPresence AttemptLauncher::CheckClient(RequestId id) const {
   const InFlightRequest* request = requests_.Find(id);
@@ -104,7 +113,7 @@
 Duration AttemptLauncher::TimeLeft(RequestId id, TimePoint now) const {
   const InFlightRequest* request = requests_.Find(id);
   if (!request) return Duration::zero();
-  if (request->deadline != TimePoint::max()) return request->deadline - now;
+  if (request->HasDeadline()) return request->deadline - now;
   return request->body->EarliestLastByte() + request->timeout - now;
 }
 
@@ -136,7 +145,7 @@
   exchange.body = request.body;
   exchange.timeout = action.timeout;
   // Without a deadline the body is still being streamed, and the timeout starts only with its last byte.
-  if (request.deadline != TimePoint::max()) {
+  if (request.HasDeadline()) {
     exchange.timeout = std::max<Duration>(exchange.timeout - elapsed, kMinTimeout);
   }
   exchange.max_connection_idle = action.max_connection_idle;
--- a/sidecar/attempt_launcher.h
+++ b/sidecar/attempt_launcher.h
@@ -40,6 +40,8 @@
   // half-open probe continue after the response, to test its upstream; but if its connection is not
   // established by now, the request must not be forwarded any more.
   void AbandonUnsent(const InFlightRequest& request);
+  // Ends the attempts of the request that have not been written whole, as timed out before their last byte.
+  void FailIncomplete(RequestId id);
 
  private:
   // An attempt and the time of the balancer's decision to send it.
--- a/sidecar/body_stream.h
+++ b/sidecar/body_stream.h
@@ -41,12 +41,11 @@
     buffered_.Append(bytes, size);
     PostHook(&BodyStream::on_data);
   }
-  // Returns the last time at which more of the body was known to be still incoming. Called until MarkSent().
-  std::function<TimePoint()> last_seen_incoming;
-  // Records that the peer sent the last byte of the body at `at` or soon after; some of it may not have been
-  // read from the socket yet. Calls after the first are ignored.
+  // Returns a lower bound of the time at which the peer sends, or sent, the last byte. Called until
+  // MarkSent().
+  std::function<TimePoint()> earliest_last_byte;
+  // Records that the peer sent the last byte of the body at `at` or later. Called once, before Finish().
   void MarkSent(TimePoint at) {
-    if (sent_at_) return;
     sent_at_ = at;
     PostHook(&BodyStream::on_sent_);
   }
@@ -64,16 +63,17 @@
   // ---- The reader's side ----
 
   Hook on_data;  // called when data has arrived or the body has ended
-  // Calls `hook` when the peer has sent all of the body, also if it has done so already: the time limit of
-  // the response starts then.
+  // Calls `hook` when the last byte has been received, also if that was before: the time limit of the
+  // response runs from sent_at().
   void NotifyWhenSent(Hook hook) {
     on_sent_ = std::move(hook);
     if (sent_at_) PostHook(&BodyStream::on_sent_);
   }
   std::optional<TimePoint> sent_at() const { return sent_at_; }
-  // A lower bound of the time at which the peer sends, or sent, the last byte.
+  // A lower bound of the time at which the peer sends, or sent, the last byte. While the stream has no
+  // capacity, bytes wait unread, and the last one may be among them.
   TimePoint EarliestLastByte() const {
-    return sent_at_ ? *sent_at_ : last_seen_incoming ? last_seen_incoming() : Now();
+    return sent_at_ ? *sent_at_ : earliest_last_byte ? earliest_last_byte() : Now();
   }
   HeldBytes Read() {
     consumed_ = consumed_ || !buffered_.empty();
--- a/sidecar/client_connection.cpp
+++ b/sidecar/client_connection.cpp
@@ -23,9 +23,8 @@
 
 // Bytes per read: larger than a usual request, and small enough not to delay other connections.
 constexpr std::size_t kReadSize = 8192;
-// While the buffer is full and nothing is read, this is how often the connection is checked for a disconnect
-// and for the arrival of the body's last byte. Frequent enough to cancel a request promptly, at negligible
-// cost.
+// While the buffer is full and nothing is read, this is how often the connection is checked for a disconnect.
+// Frequent enough to cancel a request promptly, at negligible cost.
 constexpr Duration kUnreadCheckInterval = milliseconds(50);
 constexpr string_view kEvictionResponse =
     "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
@@ -40,7 +39,7 @@
       writer_(socket_, [this](ResponseWriter::Outcome outcome) { HandleResponseWritten(outcome); }),
       probe_(socket_, writer_),
       unread_check_(context.io),
-      body_({[this] { return IsMoreOfBodyIncoming(); }, [this] { HandleBodyCapacity(); }},
+      body_({[this] { return GetReceiveProgress(); }, [this] { HandleBodyCapacity(); }},
             context.bodies.budget) {
   buffer_.max_size(kMaxReadAhead);
   activity_.state_since = Now();
@@ -147,13 +146,19 @@
 
 void ClientConnection::Read() {
   if (reader_.IsReading() || state_ == State::kClosed || sending_ended_) return;
-  if (IsReadAheadFull()) return ScheduleUnreadCheck();
-  // Any other event may come before the read completes, as a read is pending in all states. Closing the
-  // socket ends the read with an error.
+  if (IsReadAheadFull()) {
+    body_.RecordPause();
+    return ScheduleUnreadCheck();
+  }
   const std::size_t limit =
       body_.IsStreaming() ? std::min(kReadSize, context_->bodies.stream_capacity) : kReadSize;
-  reader_.Read(buffer_, limit,
-               [self = shared_from_this()](const IoResult& result) { self->HandleReadResult(result); });
+  const std::size_t space = std::min(limit, buffer_.max_size() - buffer_.size());
+  body_.BeginRead();
+  // Any other event may come before the read completes, as a read is pending in all states. Closing the
+  // socket ends the read with an error.
+  reader_.Read(buffer_, space, [self = shared_from_this(), space](const IoResult& result) {
+    self->HandleReadResult(result, space);
+  });
 }
 
 // While the stream of a body has no capacity, more bytes would only wait here instead of in the kernel.
@@ -163,8 +168,11 @@
          (is_stream_full ? std::min(context_->bodies.stream_capacity, kMaxReadAhead) : kMaxReadAhead);
 }
 
-void ClientConnection::HandleReadResult(const IoResult& result) {
+// `space`: how many bytes the read could have returned.
+void ClientConnection::HandleReadResult(const IoResult& result, std::size_t space) {
   if (state_ == State::kClosed) return;
+  body_.EndRead(activity_.bytes_read, result.size, result.size < space);
+  activity_.bytes_read += result.size;
   if (result.status == IoStatus::kBroken) return Close();
   if (result.status == IoStatus::kEnd) {
     sending_ended_ = true;
@@ -180,7 +188,6 @@
     if (linger_.IsOverLimit()) return Close();
   }
   ParseRequest();
-  RecordLastByteTime();
   HandleSendingEnded();
   Read();
 }
@@ -324,12 +331,9 @@
 }
 
 // While the buffer is full, checks periodically whether the client ended its sending or disconnected behind
-// the unread bytes. Not needed while a probe is outstanding, nor after a probe found the client connected,
-// unless the time of the body's last byte is still to be recorded.
+// the unread bytes. Not needed while a probe is outstanding, nor after a probe found the client connected.
 void ClientConnection::ScheduleUnreadCheck() {
-  if (state_ != State::kAwaitingResponse || probe_.state() == HalfCloseProbe::State::kOutstanding) return;
-  const bool last_byte_known = !body_.IsStreaming() || body_.IsKnownToBeSent();
-  if (probe_.state() == HalfCloseProbe::State::kClientConnected && last_byte_known) return;
+  if (state_ != State::kAwaitingResponse || probe_.state() != HalfCloseProbe::State::kNotSent) return;
   unread_check_.expires_after(kUnreadCheckInterval);
   // Before the timer expires, the body may get capacity, so that reading resumes, or the response may be
   // ready. A probe or a close cancels the timer.
@@ -340,25 +344,16 @@
 
 void ClientConnection::HandleUnreadCheck() {
   if (!IsReadAheadFull()) return;
-  if (state_ == State::kAwaitingResponse) {
-    RecordLastByteTime();
-    const bool probed = probe_.state() != HalfCloseProbe::State::kNotSent;
-    if (!probed && CheckClient() != ClientPresence::kConnected) return SendHalfCloseProbe();
-  }
+  const bool is_unprobed =
+      state_ == State::kAwaitingResponse && probe_.state() == HalfCloseProbe::State::kNotSent;
+  if (is_unprobed && CheckClient() != ClientPresence::kConnected) return SendHalfCloseProbe();
   ScheduleUnreadCheck();
 }
 
-// Whether some of the body is neither read nor in the kernel's receive buffer. Certain only if the body's
-// length is known; otherwise true if there are no unparsed bytes.
-bool ClientConnection::IsMoreOfBodyIncoming() {
+ReceiveProgress ClientConnection::GetReceiveProgress() {
   error_code error;
-  const std::size_t unparsed = buffer_.size() + socket_.available(error);
-  const auto remaining = framing_.content_length_remaining();
-  return remaining ? *remaining > unparsed : unparsed == 0;
-}
-
-void ClientConnection::RecordLastByteTime() {
-  body_.RecordLastByteTime(sending_ended_ || framing_.content_length_remaining());
+  return {activity_.bytes_read, buffer_.size(), socket_.available(error), framing_.content_length_remaining(),
+          sending_ended_};
 }
 
 }  // namespace lb::sidecar
--- a/sidecar/client_connection.h
+++ b/sidecar/client_connection.h
@@ -126,7 +126,7 @@
   void Read();
   // Whether nothing more is read until bytes of the buffer have been consumed.
   bool IsReadAheadFull() const;
-  void HandleReadResult(const IoResult& result);
+  void HandleReadResult(const IoResult& result, std::size_t space);
   void ProcessBufferedBytes();
   void ParseRequest();
   void HandleBodyBytes(boost::beast::string_view bytes);
@@ -142,8 +142,7 @@
   ClientPresence CheckClient();
   void ScheduleUnreadCheck();
   void HandleUnreadCheck();
-  bool IsMoreOfBodyIncoming();
-  void RecordLastByteTime();
+  ReceiveProgress GetReceiveProgress();
 
   void HandleRequest(HttpRequest request, Body body);
   void AnswerHealthCheck();
--- a/sidecar/connection_timeouts.h
+++ b/sidecar/connection_timeouts.h
@@ -39,11 +39,12 @@
 // which resets it.
 constexpr std::size_t kLingerByteLimit = std::size_t{256} * 1024;
 
-// Progress of a connection in its current state.
+// Progress of a connection.
 struct ConnectionActivity {
   TimePoint state_since;         // when the state began, or the first byte of a later request arrived
   std::uint64_t body_bytes = 0;  // bytes received of the request's body
   TimePoint last_body_byte_at;   // when the last byte arrived of this body, or of an earlier one
+  std::uint64_t bytes_read = 0;  // on the whole connection
 };
 
 // The state of a connection that waits for its client's close after the last response.
--- a/sidecar/request_body.h
+++ b/sidecar/request_body.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "sidecar/body_stream.h"
@@ -17,14 +18,24 @@
 #include "sidecar/held_bytes.h"
 #include "sidecar/http.h"
 #include "sidecar/memory_budget.h"
+#include "sidecar/send_time_bound.h"
 
 namespace lb::sidecar {
 
+// How much of a client's connection has reached this process.
+struct ReceiveProgress {
+  std::uint64_t read = 0;    // bytes read from the socket
+  std::size_t unparsed = 0;  // of those, bytes that were not parsed yet
+  std::size_t unread = 0;    // bytes in the socket's receive buffer
+  // Bytes of the body that were not parsed yet, if its length is known.
+  boost::optional<std::uint64_t> body_left{};
+  bool sending_ended = false;  // the client can't send more than `read`
+};
+
 class RequestBody {
  public:
   struct Owner {
-    // Whether some of the body has not reached this machine yet. False if that is unknown.
-    std::function<bool()> is_more_incoming;
+    std::function<ReceiveProgress()> receive_progress;
     // The stream has capacity again, or its reader has left.
     std::function<void()> on_capacity;
   };
@@ -55,22 +66,33 @@
   void WaitForCapacity() { waits_for_capacity_ = true; }
   bool IsWaitingForCapacity() const { return waits_for_capacity_; }
   void EndWaitForCapacity() { waits_for_capacity_ = false; }
-  bool IsKnownToBeSent() const { return stream_->sent_at().has_value(); }
-  // Records when the client sent the last byte, also if that byte waits for capacity: the time for the
-  // response runs from there. `is_end_known`: the end of the body can be recognized without parsing it.
-  void RecordLastByteTime(bool is_end_known);
+  // To be called around each read of the connection, for the time at which the client sent the last byte: the
+  // time for the response runs from there, also if that byte waits for capacity. `read_before`: bytes of the
+  // connection that had been read before. `emptied_buffer`: the read left nothing in the receive buffer.
+  void BeginRead();
+  void EndRead(std::uint64_t read_before, std::size_t size, bool emptied_buffer);
+  // The connection is not read any more for the time being, so that bytes collect in the buffers.
+  void RecordPause();
+  // The last byte was parsed and written to the stream.
   void Finish();
   // The rest of the body will not arrive, or is not needed any more.
   void Abort();
 
  private:
-  TimePoint LastSeenIncoming();
+  std::uint64_t MinLastByteOffset(const ReceiveProgress& progress) const;
+  ReceiveProgress ObserveProgress();
+  TimePoint EarliestLastByte();
   void Detach();
 
   const Owner owner_;
   HeldBytes held_;
   Body stream_;
-  TimePoint last_seen_incoming_;
+  std::optional<SendTimeBound> send_time_;  // while the body is streamed
+  TimePoint observed_at_;                   // when the content of the receive buffer was last looked at
+  // Neither the receive buffer nor the client's send buffer held any bytes when the last read began or ended.
+  bool are_buffers_empty_ = false;
+  // The bytes read of the connection when that was last so; nothing after a pause.
+  std::optional<std::uint64_t> empty_at_;
   bool waits_for_capacity_ = false;
 };
 
--- a/sidecar/request_intake.cpp
+++ b/sidecar/request_intake.cpp
@@ -1,12 +1,15 @@
 #include "sidecar/request_intake.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/system/error_code.hpp>
 #include <chrono>
 #include <memory>
 #include <utility>
 #include <variant>
 
 #include "sidecar/local_responses.h"
+#include "sidecar/log_events.h"
 
 namespace lb::sidecar {
 namespace {
@@ -17,12 +20,15 @@
 // here.
 constexpr Duration kMinClientDelay = milliseconds(2);
 constexpr Duration kMinTimeout = milliseconds(1);
+// How often the deadline of a request is computed anew while its body is received: it moves as the body does,
+// and a planned stop limits it.
+constexpr Duration kUploadCheckInterval = milliseconds(250);
 
 }  // namespace
 
-RequestIntake::RequestIntake(const Settings& settings, BalancerHost& host, RequestTable& requests,
-                             AttemptLauncher& launcher)
-    : validator_(settings), host_(host), requests_(requests), launcher_(launcher) {}
+RequestIntake::RequestIntake(boost::asio::io_context& io, const Settings& settings, BalancerHost& host,
+                             RequestTable& requests, AttemptLauncher& launcher, Logger& log)
+    : io_(io), validator_(settings), host_(host), requests_(requests), launcher_(launcher), log_(log) {}
 
 Listener::OnDisconnected RequestIntake::AcceptRequest(HttpRequest message, Body body,
                                                       Listener::SendResponse send_response,
@@ -56,13 +62,15 @@
   request.send_response = std::move(send_response);
   request.check_client = std::move(check_client);
   const RequestId id = event.request;
-  if (body) {
+  const bool is_streamed = body != nullptr;
+  if (is_streamed) {
     request.deadline = TimePoint::max();
     body->NotifyWhenSent([this, id] { HandleBodySent(id); });
     request.body = std::move(body);
   }
   requests_.Add(id, std::move(request));
   host_.Deliver(event);
+  if (is_streamed) CheckUploadDeadline(id);
   return [this, id] { HandleClientDisconnected(id); };
 }
 
@@ -72,9 +80,34 @@
 
 void RequestIntake::HandleBodySent(RequestId id) {
   InFlightRequest* request = requests_.Find(id);
-  if (!request || !request->AwaitsResponse()) return;
-  request->deadline = ComputeDeadline(*request->body->sent_at(), request->timeout);
-  host_.Deliver(lb::RequestCompleted{id, request->deadline});
+  if (!request || !request->AwaitsResponse() || request->HasDeadline()) return;
+  SetDeadline(id, *request, ComputeDeadline(*request->body->sent_at(), request->timeout));
+}
+
+void RequestIntake::SetDeadline(RequestId id, InFlightRequest& request, TimePoint deadline) {
+  request.deadline = deadline;
+  host_.Deliver(lb::RequestCompleted{id, deadline});
+}
+
+void RequestIntake::CheckUploadDeadline(RequestId id) {
+  InFlightRequest* request = requests_.Find(id);
+  if (!request || !request->AwaitsResponse() || request->HasDeadline()) return;
+  const TimePoint now = Now();
+  const TimePoint deadline = ComputeDeadline(request->body->EarliestLastByte(), request->timeout);
+  if (now < deadline) return CheckUploadDeadlineAt(id, std::min(deadline, now + kUploadCheckInterval));
+  log_.Write(LogEvent(log_events::kUploadTimedOut)
+                 .With("request_id", request->wire_id)
+                 .With("timeout_ms", std::chrono::duration_cast<milliseconds>(request->timeout).count()));
+  SetDeadline(id, *request, deadline);
+  // An attempt that has not been written whole has not run, so that the request can be rejected.
+  launcher_.FailIncomplete(id);
+}
+
+void RequestIntake::CheckUploadDeadlineAt(RequestId id, TimePoint at) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, ToSteady(at));
+  timer->async_wait([this, timer, id](boost::system::error_code error) {
+    if (!error) CheckUploadDeadline(id);
+  });
 }
 
 void RequestIntake::HandleClientDisconnected(RequestId id) {
--- a/sidecar/request_table.h
+++ b/sidecar/request_table.h
@@ -39,6 +39,7 @@
   std::optional<AttemptId> responding_attempt;  // the attempt whose response is streamed to the client
 
   bool AwaitsResponse() const { return send_response != nullptr; }
+  bool HasDeadline() const { return deadline != TimePoint::max(); }
 };
 
 class RequestTable {
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -90,7 +90,7 @@
             host_.Deliver(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}});
           }),
       launcher_(io, host_, requests_, upstreams_, log_),
-      intake_(settings_, host_, requests_, launcher_),
+      intake_(io, settings_, host_, requests_, launcher_, log_),
       first_list_timer_(io),
       shutdown_(settings_),
       listener_(
--- a/sidecar/upstream_connection.cpp
+++ b/sidecar/upstream_connection.cpp
@@ -323,6 +323,10 @@
   if (writer_.is_writing()) Fail(Failure::kCancelled);
 }
 
+void UpstreamConnection::FailIncomplete() {
+  if (!writer_.is_complete()) Fail(Failure::kTimeout);
+}
+
 // Also closes the connection, because late bytes must never be read as the response to another request. If a
 // write is pending, waits for its completion before finishing: bytes that the system has taken count as
 // written even if the completion has not run yet, and an unsafe request may be sent again only if its last
--- a/sidecar/upstream_connection.h
+++ b/sidecar/upstream_connection.h
@@ -118,6 +118,8 @@
   // nothing will be. An exchange with a pending write is cancelled. Any other exchange continues, because its
   // outcome is a sample of the upstream's health.
   void AbandonUnsent();
+  // Ends an exchange whose request has not been written whole, as timed out, and closes the connection.
+  void FailIncomplete();
   // Closes the connection without finishing its exchange. Does nothing if it is closed already.
   void Close();
 
--- a/sidecar/upstreams.cpp
+++ b/sidecar/upstreams.cpp
@@ -154,6 +154,11 @@
   if (connection) connection->AbandonUnsent();
 }
 
+void Upstreams::FailIncomplete(ExchangeId id) {
+  const auto connection = FindExchange(id);
+  if (connection) connection->FailIncomplete();
+}
+
 void Upstreams::CloseIdleConnections(const std::string& upstream) {
   const auto it = pools_.find(upstream);
   if (it != pools_.end()) connection_pool_.CloseIdle(*it->second);
--- a/sidecar/upstreams.h
+++ b/sidecar/upstreams.h
@@ -52,7 +52,7 @@
 
   // Calls `request.on_finished` exactly once. If there is no connection to send on, the call comes from
   // within this function, with kNotSent or kLocalFailure; otherwise from the event loop or from within
-  // Cancel(), AbandonUnsent(), Update(), ReplaceAll() or SetDisabled().
+  // Cancel(), AbandonUnsent(), FailIncomplete(), Update(), ReplaceAll() or SetDisabled().
   void StartExchange(ExchangeId id, const std::string& upstream, ExchangeRequest request);
   // Starts an exchange whose result contains the load that the upstream reports. Its timeout is the connect
   // timeout.
@@ -64,6 +64,9 @@
   // nothing will be, and its connection is pooled once it is established. An exchange with a pending write is
   // cancelled. Any other exchange continues, because its outcome is a sample of the upstream's health.
   void AbandonUnsent(ExchangeId id);
+  // Ends the exchange and closes its connection if the last byte of its request has not been written: as
+  // kConnectFailed, which proves that nothing ran. Does nothing to any other exchange.
+  void FailIncomplete(ExchangeId id);
   void CloseIdleConnections(const std::string& upstream);
   // Closes idle connections until the sidecar is within its limit on file descriptors.
   void EnforceCapacity() { connection_pool_.EnforceCapacity(); }
--- a/tests/sidecar/memory_budget_test.cpp
+++ b/tests/sidecar/memory_budget_test.cpp
@@ -86,7 +86,7 @@
 
 // Guards against holding bodies without a limit on their sum.
 TEST_F(MemoryBudgetTest, RequestBodyIsStreamedWhileTheBudgetIsExhausted) {
-  RequestBody body({[] { return false; }, [] {}}, budget_);
+  RequestBody body({[] { return ReceiveProgress{}; }, [] {}}, budget_);
   body.Append(kSmall);
   EXPECT_FALSE(body.IsTooLargeToHold()) << "a stream would take as much";
 
--- a/tests/streamed_bodies_test.cpp
+++ b/tests/streamed_bodies_test.cpp
@@ -229,6 +229,47 @@
   EXPECT_EQ(begun, 1);
 }
 
+// Reads at most 500 kB a second until the connection ends.
+void ReadSlowly(Wire& wire) {
+  constexpr std::size_t kBytesAtOnce = 2500;
+  constexpr milliseconds kPause{5};
+  std::vector<char> bytes(kBytesAtOnce);
+  boost::system::error_code error;
+  while (!error) {
+    wire.socket.read_some(boost::asio::buffer(bytes), error);
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+// Guards against a deadline that does not run while the body waits for an upstream that takes it slowly
+// (review/3). The time runs from the last byte that the client wrote, which is long before it is read.
+TEST(StreamedRequest, IsRejectedInItsTimeIfItsUpstreamReadsTooSlowly) {
+  constexpr int kShortTimeoutMs = 3000;
+  constexpr milliseconds kLatest{kShortTimeoutMs +
+                                 2000};  // after the last byte; leaves room for a busy machine
+  constexpr std::size_t kBody =
+      8000000;  // more than the upstream reads in that time, with all buffers on the way
+  const std::string body = TextOfSize(kBody);
+  for (const std::string& text :
+       {PostText("/submit/k", "a", body, kShortTimeoutMs),
+        PostHead("/submit/k", "b", kShortTimeoutMs, "Transfer-Encoding: chunked\r\n") +
+            ToChunks(body, 50000)}) {
+    Peer upstream([](Wire& wire, int) { ReadSlowly(wire); }, true);
+    SidecarProcess sidecar(With(List({Target("u1", upstream.address())})));
+    ASSERT_TRUE(sidecar.Listening());
+    Client client(sidecar.port());
+
+    ASSERT_TRUE(client.Send(text));
+    const auto sent = std::chrono::steady_clock::now();
+    const auto response = client.Read();
+
+    EXPECT_LT(std::chrono::steady_clock::now() - sent, kLatest);
+    ASSERT_TRUE(response) << sidecar.log();
+    EXPECT_EQ(response->result_int(), 503U) << "nothing ran, as the last byte was not forwarded";
+    EXPECT_EQ(response->count("Retry-After"), 1U);
+  }
+}
+
 TEST(StreamedRequest, EndsItsAttemptWhenTheClientDisconnects) {
   Gate ended;
   Peer upstream([&](Wire& wire, int) {
