Look at a client's receive buffer again when its reading resumes

Cause, by reading: the periodic look at an upload's deadline may find the receive buffer empty while the connection is not read.

Change: what is known of the buffers holds for 10 ms, and is looked up again otherwise; a read that empties them renews it.

--- a/sidecar/request_body.cpp
+++ b/sidecar/request_body.cpp
@@ -5,7 +5,7 @@
 namespace lb::sidecar {
 namespace {
 
-// The receive buffer is looked at no more often than this, as each look is a system call.
+// What is known of the buffers is taken to hold for this long, as each look at them is a system call.
 constexpr Duration kObservationInterval = std::chrono::milliseconds(10);
 // If the receive buffer was empty, it takes at least this many bytes before the client's have to wait in its
 // send buffer.
@@ -65,17 +65,20 @@
 }
 
 void RequestBody::BeginRead() {
-  if (stream_ && !are_buffers_empty_ && Now() - observed_at_ >= kObservationInterval) ObserveProgress();
+  if (stream_ && Now() - observed_at_ >= kObservationInterval) ObserveProgress();
 }
 
 // A read that takes all there is does not show that the client's send buffer is empty, too: that fills the
 // receive buffer again only after the read, if it had to wait for room there.
 void RequestBody::EndRead(std::uint64_t read_before, std::size_t size, bool emptied_buffer) {
   if (!stream_) return;
-  if (are_buffers_empty_) send_time_->Observe(read_before, 0, Now());
+  const TimePoint now = Now();
+  if (are_buffers_empty_) send_time_->Observe(read_before, 0, now);
   const std::uint64_t read = read_before + size;
   are_buffers_empty_ = emptied_buffer && empty_at_ && read - *empty_at_ <= kMinWindow;
-  if (are_buffers_empty_) empty_at_ = read;
+  if (!are_buffers_empty_) return;
+  empty_at_ = read;
+  observed_at_ = now;
 }
 
 void RequestBody::Detach() {
--- a/sidecar/request_body.h
+++ b/sidecar/request_body.h
@@ -88,7 +88,7 @@
   HeldBytes held_;
   Body stream_;
   std::optional<SendTimeBound> send_time_;  // while the body is streamed
-  TimePoint observed_at_;                   // when the content of the receive buffer was last looked at
+  TimePoint observed_at_;                   // when the content of the buffers was last known
   // Neither the receive buffer nor the client's send buffer held any bytes when the last read began or ended.
   bool are_buffers_empty_ = false;
   // The bytes read of the connection when that was last so; nothing after a pause.
