--- a/sidecar/send_time_bound.cpp
+++ b/sidecar/send_time_bound.cpp
@@ -49,12 +49,12 @@
 }
 
 std::size_t MaxTcpSendBuffer() {
-  static const std::size_t size = [] {
+  static const std::size_t kSize = [] {
     const std::size_t autotuned = ReadLastNumber("/proc/sys/net/ipv4/tcp_wmem", kDefaultMaxAutotuned);
     const std::size_t requested = ReadLastNumber("/proc/sys/net/core/wmem_max", kDefaultMaxRequested);
     return std::max(autotuned, requested * kRequestedFactor) + kMaxSegment;
   }();
-  return size;
+  return kSize;
 }
 
 }  // namespace lb::sidecar
