Pass on a response's head before its time is over if its body has not begun

Callers saw 502 or 503 at the latency objective (504 at their deadline) although an upstream had sent the head of a 200 within 50 ms and was about to send a long body; the upstream's connection was closed under it.

Cause: a served response without a length is held back so that another upstream can still answer if it breaks off (UpstreamConnection::OnHoldBackTimer). It was streamed only once a byte of its body had come. A head alone did not count as a response that has begun, so that the time limit of the attempt ended it: a limit on the start of a response, applied to its first byte of body.

Change: the head is passed on 100 ms before the attempt's time is over, a quarter of a shorter time. The order of the two timers then holds also if the process is held up for up to that long. What follows is a streamed response as any other: 10 s without a byte end it, with a reset, so that the client can tell.

--- a/sidecar/attempt_launcher.cpp
+++ b/sidecar/attempt_launcher.cpp
@@ -168,6 +168,9 @@
   head.version(11);
   RemoveHopByHop(head);
   request->responding_attempt = attempt;
+  if (!body->length() && !body->HasData()) {
+    log_.Write(LogEvent(log_events::kResponseHeadForwarded).With("request_id", request->wire_id));
+  }
   Respond(*request, std::move(head), std::move(body));
   host_.Deliver(lb::ResponseStarted{id, attempt});
 }
@@ -220,6 +223,7 @@
       .With("outcome", *outcome)
       .With("attempt", static_cast<std::size_t>(decided.attempt))
       .With("streaming", is_streaming ? "yes" : "no")
+      .With("progress", ToString(result.progress))
       .With("elapsed_us", result.elapsed.count())
       .With("connection_use", result.connection_use)
       .With("connection_open_us", result.connection_open_for.count())
--- a/sidecar/body_stream.h
+++ b/sidecar/body_stream.h
@@ -81,6 +81,8 @@
     HeldBytes read = std::move(buffered_);
     return read;
   }
+  // Whether bytes wait to be read.
+  bool HasData() const { return !buffered_.empty(); }
   bool fully_read() const { return finished_ && buffered_.empty(); }
   bool aborted() const { return aborted_; }
   bool finished() const { return finished_; }
--- a/sidecar/exchange.h
+++ b/sidecar/exchange.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "balancer/balancer.h"
 #include "sidecar/body_stream.h"
@@ -17,6 +18,17 @@
 // Chosen by the caller, and unique among the unfinished exchanges.
 enum class ExchangeId : std::uint64_t {};
 
+// How far an exchange had come when it ended.
+enum class ExchangeProgress {
+  kNotStarted,        // no connection was taken or opened
+  kConnecting,        // no byte of the request was written
+  kSendingRequest,    // the request was not written whole
+  kAwaitingResponse,  // no final head had arrived
+  kAwaitingBody,      // the head had arrived, and nothing of the body
+  kReceivingBody,
+};
+std::string_view ToString(ExchangeProgress progress);
+
 // The result of an exchange. The lint exception: the move assignment of Beast's fields may throw.
 // NOLINTNEXTLINE(bugprone-exception-escape)
 struct ExchangeResult {
@@ -28,6 +40,7 @@
   lb::LoadReport load;
   // Empty unless a response was read completely. The body is empty if it was streamed.
   HttpResponse response;
+  ExchangeProgress progress = ExchangeProgress::kNotStarted;
   // The error of the connection, or of opening one; no error if neither failed.
   boost::system::error_code connection_error{};
   // Number of exchanges on the connection, including this one; 0 if there was no connection.
--- a/sidecar/exchange_deadlines.cpp
+++ b/sidecar/exchange_deadlines.cpp
@@ -11,6 +11,10 @@
 // answer.
 constexpr int kHoldBackDivisor = 10;
 constexpr Duration kMinHoldBack = std::chrono::milliseconds(1);
+// How long before the response's deadline its head is passed on alone. Longer than this process may be held
+// up, so that the head is passed on before the request's own deadline is noticed; a share of a short time.
+constexpr Duration kForwardHeadBefore = std::chrono::milliseconds(100);
+constexpr int kForwardHeadDivisor = 4;
 // Streamed bodies may be slow, but an upstream that neither sends nor accepts a byte for this long has
 // failed.
 constexpr Duration kStreamStallTimeout = std::chrono::seconds(10);
@@ -39,7 +43,12 @@
 
 TimePoint ExchangeDeadlines::HoldBackEnd(TimePoint now) const {
   const Duration part = (response_ - now) / kHoldBackDivisor;
-  return std::min(response_, now + std::max(part, kMinHoldBack));
+  const TimePoint end = now + std::max(part, kMinHoldBack);
+  return std::min(end, now < ForwardHeadAt() ? ForwardHeadAt() : response_);
+}
+
+TimePoint ExchangeDeadlines::ForwardHeadAt() const {
+  return response_ - std::min<Duration>(kForwardHeadBefore, (response_ - started_) / kForwardHeadDivisor);
 }
 
 TimePoint ExchangeDeadlines::NextPiece(const ExchangeRequest& request, TimePoint now) {
--- a/sidecar/exchange_deadlines.h
+++ b/sidecar/exchange_deadlines.h
@@ -24,9 +24,12 @@
   // request. Limited to the time that the client will still wait. Connecting time is deducted unless the
   // request is streamed.
   Duration UpstreamTimeout(const ExchangeRequest& request, TimePoint now) const;
-  // The time until which a served response of unknown length is held back instead of being streamed to the
-  // client.
+  // When a served response of unknown length, some of whose body has arrived, is streamed to the client
+  // instead of being held back further.
   TimePoint HoldBackEnd(TimePoint now) const;
+  // When the head of such a response is passed on although nothing of its body has arrived: shortly before
+  // response(), after which the attempt would be given up.
+  TimePoint ForwardHeadAt() const;
   // Deadline for the upstream to accept the next piece of a streamed request.
   static TimePoint NextPiece(const ExchangeRequest& request, TimePoint now);
   // Deadline of the next bytes of a streamed response.
--- a/sidecar/log_events.h
+++ b/sidecar/log_events.h
@@ -19,6 +19,7 @@
 inline constexpr std::string_view kAcceptFailed = "accept_failed";
 inline constexpr std::string_view kAcceptBacklogAbandoned = "accept_backlog_abandoned";
 inline constexpr std::string_view kAttemptFailed = "attempt_failed";
+inline constexpr std::string_view kResponseHeadForwarded = "response_head_forwarded";
 inline constexpr std::string_view kUploadTimedOut = "upload_timed_out";
 inline constexpr std::string_view kMessageMemoryExhausted = "message_memory_exhausted";
 
--- a/sidecar/response_body.h
+++ b/sidecar/response_body.h
@@ -35,6 +35,8 @@
   void DiscardPart(std::size_t size) { discarded_ += size; }
 
   std::size_t collected() const { return collected_.size(); }
+  // Some bytes have been collected or discarded.
+  bool HasBegun() const { return collected_.size() + discarded_ > 0; }
   // More than kMaxBufferedBody has been collected or discarded.
   bool IsOverLimit() const { return collected_.size() + discarded_ > kMaxBufferedBody; }
   // Whether the body should be streamed, and is not yet.
--- a/sidecar/upstream_connection.cpp
+++ b/sidecar/upstream_connection.cpp
@@ -208,11 +208,14 @@
   exchange_.request.on_response_started(std::move(head), std::move(stream));
 }
 
-// The pending read of the body continues.
+// The pending read of the body continues. A response that has begun is not given up because its body is late.
 void UpstreamConnection::OnHoldBackTimer() {
-  if (body_.collected() > 0) return StartStreaming();
-  if (Now() >= exchange_.deadlines.response()) return Fail(Failure::kTimeout);
-  ArmTimer(exchange_.deadlines.HoldBackEnd(Now()));
+  const TimePoint now = Now();
+  const bool is_head_due = now >= exchange_.deadlines.ForwardHeadAt();
+  const bool can_forward_head = exchange_.request.on_response_started != nullptr;
+  if (body_.collected() > 0 || (is_head_due && can_forward_head)) return StartStreaming();
+  if (now >= exchange_.deadlines.response()) return Fail(Failure::kTimeout);
+  ArmTimer(exchange_.deadlines.HoldBackEnd(now));
 }
 
 void UpstreamConnection::ReadBody() {
@@ -334,6 +337,7 @@
 void UpstreamConnection::Fail(Failure failure, error_code error) {
   if (!HasExchange()) return;
   exchange_.error = error;
+  exchange_.progress = Progress();
   Close();
   if (!writer_.is_writing()) return FinishFailed(failure);
   state_ = State::kAwaitingWrite;
@@ -375,6 +379,7 @@
   ExchangeResult result;
   result.outcome = outcome;
   result.elapsed = Now() - exchange_.deadlines.started();
+  result.progress = exchange_.progress;
   result.connection_error = exchange_.error;
   result.connection_use = history_.exchanges;
   result.connection_open_for = exchange_.deadlines.started() - history_.opened;
@@ -382,6 +387,21 @@
   return result;
 }
 
+ExchangeProgress UpstreamConnection::Progress() const {
+  switch (state_) {
+    case State::kAwaitingHead:
+      return writer_.is_complete() ? ExchangeProgress::kAwaitingResponse : ExchangeProgress::kSendingRequest;
+    case State::kCollectingBody:
+    case State::kHoldingBackBody:
+      return body_.HasBegun() ? ExchangeProgress::kReceivingBody : ExchangeProgress::kAwaitingBody;
+    case State::kStreamingBody:
+    case State::kStreamPaused:
+      return ExchangeProgress::kReceivingBody;
+    default:
+      return ExchangeProgress::kConnecting;
+  }
+}
+
 // ---- Timer ----
 
 // Until the timer expires, any other event may run. A completion that is already queued when the timer is set
--- a/sidecar/upstream_connection.h
+++ b/sidecar/upstream_connection.h
@@ -61,7 +61,7 @@
 //               kStreamingBody; or end
 //   keep        collect the part of a served response, and stream it (to kStreamingBody) once it is too large
 //               to be collected; discard the part of any other, and end it beyond kMaxBufferedBody
-//   stream      to kStreamingBody if some of the body has arrived
+//   stream      to kStreamingBody if some of the body has arrived, or if the response's time is nearly over
 //   wait        set the timer again; at the response's deadline, end
 //   pass on     write the part to the stream; while the stream has no capacity, to kStreamPaused without a
 //               pending read
@@ -164,6 +164,7 @@
     bool may_be_sent = true;
     ExchangeDeadlines deadlines;
     Duration connection_idle{};  // idle time of the connection before this exchange
+    ExchangeProgress progress = ExchangeProgress::kConnecting;  // when it failed
     boost::system::error_code error;
   };
 
@@ -205,6 +206,7 @@
   // Enters `next` and returns the callback of the exchange, which the caller runs last.
   ExchangeRequest::OnFinished EndExchange(State next);
   ExchangeResult Result(lb::Outcome outcome) const;
+  ExchangeProgress Progress() const;
   void ArmTimer(TimePoint at);
   // A completion that is already queued finds a later expiry time and is ignored.
   void DisarmTimer() { timer_.expires_at(std::chrono::steady_clock::time_point::max()); }
--- a/tests/sidecar/exchange_deadlines_test.cpp
+++ b/tests/sidecar/exchange_deadlines_test.cpp
@@ -73,6 +73,20 @@
   EXPECT_EQ(deadlines.HoldBackEnd(kStart + seconds(3)), kStart + seconds(2));
 }
 
+TEST(ExchangeDeadlines, HeadIsForwardedShortlyBeforeTheResponseIsDue) {
+  const ExchangeDeadlines usual(RequestWithTimeout(seconds(2)), kStart);
+  const ExchangeDeadlines brief(RequestWithTimeout(milliseconds(40)), kStart);
+
+  EXPECT_EQ(usual.ForwardHeadAt(), kStart + milliseconds(1900));
+  EXPECT_EQ(brief.ForwardHeadAt(), kStart + milliseconds(30));
+}
+
+TEST(ExchangeDeadlines, HoldBackEndsWhenTheHeadIsForwarded) {
+  const ExchangeDeadlines deadlines(RequestWithTimeout(milliseconds(40)), kStart);
+
+  EXPECT_EQ(deadlines.HoldBackEnd(kStart + milliseconds(29)), kStart + milliseconds(30));
+}
+
 TEST(ExchangeDeadlines, RequestLimitsThePieceDeadline) {
   auto request = RequestWithTimeout(seconds(2));
   EXPECT_EQ(ExchangeDeadlines::NextPiece(request, kStart), kStart + seconds(10));
