Keep used request ids in a registry that both processes of an upgrade share

Callers saw a request that must not be repeated run twice: its client left, and its id came again within seconds, after more than 8,192 other ids, at the other process of an upgrade, or after the previous process was killed.

Cause: RequestTable kept the ids of ended requests in memory of its own, and dropped the oldest beyond 8,192 whatever their age. Both are the same class: what proves that a request ran was kept for less than the time, and by fewer processes, than a repeat can come in.

Change: RequestIdRegistry, a hash table of fixed size, in a file under $TMPDIR that both processes map, changed by compare-and-swap. An id stays for 30 s; if the table is full, ids give way after 5 s, and none before: then the request gets 503 with Retry-After. 8 bytes an id, a 32nd of the memory limit at most (131,072 ids at 32 MB). Requests that had no attempt release their id, so that a flood of refused requests does not fill it.

Log: request_id_repeated, request_ids_full, request_ids_not_shared.

--- a/settings/config.cpp
+++ b/settings/config.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <bit>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fstream>
@@ -108,6 +109,16 @@
   return static_cast<std::size_t>(std::max(share, *memory / 8));
 }
 
+// Request ids take at most a 32nd of the memory.
+std::size_t RequestIdSlots(std::optional<double> memory) {
+  constexpr double kBytesPerSlot = 8;
+  constexpr std::size_t kMinSlots = 8192;
+  constexpr std::size_t kMaxSlots = 524288;
+  if (!memory) return kMaxSlots;
+  const auto slots = static_cast<std::size_t>(*memory / 32 / kBytesPerSlot);
+  return std::bit_floor(std::clamp(slots, kMinSlots, kMaxSlots));
+}
+
 // The environment takes precedence over the file: during a hot restart, each process gets its own admin
 // address from its environment.
 std::optional<Endpoint> AdminAddress(const std::function<const char*(const char*)>& get_variable,
@@ -162,11 +173,13 @@
   config.admin = AdminAddress(get_variable, file);
   if (const char* folder = get_variable("TMPDIR"); config.admin && folder != nullptr && *folder != '\0') {
     config.state_folder = std::string(folder) + "/" + kStateFolder;
+    config.request_ids_file = std::string(folder) + "/" + kRequestIdsFile;
   }
   config.sockets = SocketLimit(file);
   const std::optional<double> memory = MemoryLimit(file);
   config.stream_capacity = StreamCapacity(memory, config.sockets);
   config.message_memory = MessageMemory(memory, config.sockets);
+  config.request_id_slots = RequestIdSlots(memory);
   config.settings = ReadSettings(file);
   // The file takes precedence over LB_DISCOVERY: the file can be replaced while the process runs, the
   // environment cannot, so the file is more recent.
--- a/settings/config.h
+++ b/settings/config.h
@@ -28,17 +28,23 @@
 // release through it.
 inline constexpr char kStateFolder[] = "mothrack";
 
+// The file under $TMPDIR in which the processes of a sidecar share the request ids that were used lately. A
+// file of another format needs another name.
+inline constexpr char kRequestIdsFile[] = "lb-request-ids-1";
+
 struct Config {
   std::string name;  // LB_NAME; the prefix of each log line
   Endpoint listen;
   Endpoint discovery;
-  std::optional<Endpoint> admin;    // address of the admin interface; absent: disabled
-  std::string state_folder;         // folder of the state kept across hot restarts; empty: none
-  std::uint64_t seed = 0;           // of the sidecar's random number generators
-  std::size_t sockets = 0;          // maximum number of open file descriptors
-  std::size_t stream_capacity = 0;  // maximum bytes buffered of one streamed body
-  std::size_t message_memory = 0;   // bytes of all messages in flight from which none is held whole
-  nlohmann::json known;             // last known endpoint list, in discovery's JSON format; null: none
+  std::optional<Endpoint> admin;     // address of the admin interface; absent: disabled
+  std::string state_folder;          // folder of the state kept across hot restarts; empty: none
+  std::string request_ids_file;      // of the request ids shared with the other process; empty: none
+  std::size_t request_id_slots = 0;  // how many request ids there is room for
+  std::uint64_t seed = 0;            // of the sidecar's random number generators
+  std::size_t sockets = 0;           // maximum number of open file descriptors
+  std::size_t stream_capacity = 0;   // maximum bytes buffered of one streamed body
+  std::size_t message_memory = 0;    // bytes of all messages in flight from which none is held whole
+  nlohmann::json known;              // last known endpoint list, in discovery's JSON format; null: none
   Settings settings;
 };
 
--- a/setup.sh
+++ b/setup.sh
@@ -17,7 +17,7 @@
 case "${1:-}" in
   "") ;;
   --development)
-    packages="$packages ccache clang clang-format clang-tidy libgtest-dev libcli11-dev libtomlplusplus-dev libxxhash-dev"
+    packages="$packages ccache clang clang-format clang-tidy libgtest-dev libcli11-dev libtomlplusplus-dev"
     build=
     ;;
   *)
--- a/sidecar/log_events.h
+++ b/sidecar/log_events.h
@@ -20,6 +20,9 @@
 inline constexpr std::string_view kAcceptBacklogAbandoned = "accept_backlog_abandoned";
 inline constexpr std::string_view kAttemptFailed = "attempt_failed";
 inline constexpr std::string_view kResponseHeadForwarded = "response_head_forwarded";
+inline constexpr std::string_view kRequestIdRepeated = "request_id_repeated";
+inline constexpr std::string_view kRequestIdsFull = "request_ids_full";
+inline constexpr std::string_view kRequestIdsNotShared = "request_ids_not_shared";
 inline constexpr std::string_view kUploadTimedOut = "upload_timed_out";
 inline constexpr std::string_view kMessageMemoryExhausted = "message_memory_exhausted";
 
--- a/sidecar/request_intake.cpp
+++ b/sidecar/request_intake.cpp
@@ -20,6 +20,8 @@
 // here.
 constexpr Duration kMinClientDelay = milliseconds(2);
 constexpr Duration kMinTimeout = milliseconds(1);
+// The Retry-After of a request whose id can't be kept. Ids that give way become free all the time.
+constexpr Duration kFullRegistryRetryAfter = std::chrono::seconds(1);
 // How often the deadline of a request is computed anew while its body is received: it moves as the body does,
 // and a planned stop limits it.
 constexpr Duration kUploadCheckInterval = milliseconds(250);
@@ -43,7 +45,17 @@
       validator_.Validate(message, body ? BodyDelivery::kStreamed : BodyDelivery::kComplete);
   if (const auto* error = std::get_if<RequestError>(&validation)) return reject(*error);
   const auto& valid = std::get<ValidRequest>(validation);
-  if (!requests_.ReserveWireId(valid.wire_id, now)) return reject(RequestError::kDuplicateRequestId);
+  switch (requests_.ReserveWireId(valid.wire_id, now)) {
+    case RequestIdRegistry::ClaimResult::kClaimed:
+      break;
+    case RequestIdRegistry::ClaimResult::kRepeated:
+      log_.Write(LogEvent(log_events::kRequestIdRepeated).With("request_id", valid.wire_id));
+      return reject(RequestError::kDuplicateRequestId);
+    case RequestIdRegistry::ClaimResult::kFull:
+      log_.Write(LogEvent(log_events::kRequestIdsFull).With("request_id", valid.wire_id));
+      send_response(RejectedResponse(kFullRegistryRetryAfter), nullptr);
+      return nullptr;
+  }
 
   lb::RequestArrived event;
   event.request = requests_.NextId();
--- a/sidecar/request_table.cpp
+++ b/sidecar/request_table.cpp
@@ -2,11 +2,6 @@
 
 namespace lb::sidecar {
 
-bool RequestTable::ReserveWireId(const std::string& wire_id, TimePoint now) {
-  ReleaseOldWireIds(now);
-  return reserved_wire_ids_.insert(wire_id).second;
-}
-
 void RequestTable::Add(RequestId id, InFlightRequest request) { requests_.emplace(id, std::move(request)); }
 
 InFlightRequest* RequestTable::Find(RequestId id) {
@@ -22,16 +17,16 @@
 void RequestTable::RemoveIfEnded(RequestId id, TimePoint now) {
   const auto it = requests_.find(id);
   if (it == requests_.end() || it->second.AwaitsResponse() || it->second.unfinished_attempts > 0) return;
-  ended_wire_ids_.emplace_back(now, std::move(it->second.wire_id));
+  if (it->second.attempts.empty()) {
+    wire_ids_.Release(it->second.wire_id, now);
+  } else {
+    wire_ids_.Renew(it->second.wire_id, now);
+  }
   requests_.erase(it);
 }
 
-void RequestTable::ReleaseOldWireIds(TimePoint now) {
-  while (!ended_wire_ids_.empty() &&
-         (ended_wire_ids_.size() > kMaxEndedIds || now - ended_wire_ids_.front().first > kEndedIdRetention)) {
-    reserved_wire_ids_.erase(ended_wire_ids_.front().second);
-    ended_wire_ids_.pop_front();
-  }
+void RequestTable::RenewWireIds(TimePoint now) {
+  for (const auto& [id, request] : requests_) wire_ids_.Renew(request.wire_id, now);
 }
 
 }  // namespace lb::sidecar
--- a/sidecar/request_table.h
+++ b/sidecar/request_table.h
@@ -1,17 +1,15 @@
-// The table of requests in flight, and the X-Request-IDs of requests that ended recently.
+// The table of requests in flight. Their X-Request-IDs are reserved in the registry while they are in flight,
+// and for some time after that.
 //
 // A request is in flight from its acceptance until all its attempts have finished and either its response has
 // been sent or its client has disconnected.
 #pragma once
 
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -23,6 +21,7 @@
 #include "sidecar/exchange.h"
 #include "sidecar/http.h"
 #include "sidecar/listener.h"
+#include "sidecar/request_id_registry.h"
 
 namespace lb::sidecar {
 
@@ -44,16 +43,19 @@
 
 class RequestTable {
  public:
-  // How long the X-Request-ID of an ended request stays reserved. A second request with the same id within
-  // this time is a duplicate that the client sent before it received the response, and must not be executed
-  // again. Clients do not reuse ids, so the time only has to cover the arrival of such a duplicate.
-  static constexpr Duration kEndedIdRetention = std::chrono::seconds(5);
-  // Limits the memory used for the ids of ended requests.
-  static constexpr std::size_t kMaxEndedIds = 8192;
+  // How often RenewWireIds() has to be called.
+  static constexpr Duration kWireIdRenewalInterval = RequestIdRegistry::kMinRetention / 2;
 
-  // Reserves the X-Request-ID. Returns false if a request in flight or ended recently has the same id: an
-  // upstream could not distinguish the two requests.
-  [[nodiscard]] bool ReserveWireId(const std::string& wire_id, TimePoint now);
+  // `wire_ids` has to outlive the table.
+  explicit RequestTable(RequestIdRegistry& wire_ids) : wire_ids_(wire_ids) {}
+
+  // Reserves the X-Request-ID of a request that is about to be added. A request with the id of one in flight,
+  // or that ended recently, is a duplicate, which must not be executed again.
+  [[nodiscard]] RequestIdRegistry::ClaimResult ReserveWireId(const std::string& wire_id, TimePoint now) {
+    return wire_ids_.Claim(wire_id, now);
+  }
+  // Keeps the ids of the requests in flight reserved.
+  void RenewWireIds(TimePoint now);
 
   // Returns a new id, which is never returned again.
   RequestId NextId() { return RequestId{++last_id_}; }
@@ -63,15 +65,13 @@
   InFlightRequest* Find(RequestId id);
   const InFlightRequest* Find(RequestId id) const;
 
-  // Removes the request unless it still waits for its response or for the end of an attempt.
+  // Removes the request unless it still waits for its response or for the end of an attempt. If it had an
+  // attempt, its id stays reserved.
   void RemoveIfEnded(RequestId id, TimePoint now);
 
  private:
-  void ReleaseOldWireIds(TimePoint now);
-
   std::unordered_map<RequestId, InFlightRequest> requests_;
-  std::set<std::string, std::less<>> reserved_wire_ids_;  // ids of requests in flight or ended recently
-  std::deque<std::pair<TimePoint, std::string>> ended_wire_ids_;  // time of the end and id, oldest first
+  RequestIdRegistry& wire_ids_;
   std::uint64_t last_id_ = 0;
 };
 
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -89,6 +89,9 @@
           [this] {
             host_.Deliver(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}});
           }),
+      request_ids_(config.request_id_slots, config.request_ids_file),
+      requests_(request_ids_),
+      request_id_renewal_(io),
       launcher_(io, host_, requests_, upstreams_, log_),
       intake_(io, settings_, host_, requests_, launcher_, log_),
       first_list_timer_(io),
@@ -102,6 +105,10 @@
                                          std::move(check_client));
           },
           [this] { return membership_.has_known_upstream(); }) {
+  if (!config.request_ids_file.empty() && !request_ids_.is_shared()) {
+    log_.Write(LogEvent(log_events::kRequestIdsNotShared).With("file", config.request_ids_file));
+  }
+  RenewRequestIds();
   EndpointList known = ParseKnownList(config.known, unix_clock_);
   // Without a restored list there is nothing to apply changes to, so that discovery is asked for the whole
   // list: no revision is sent with the query.
@@ -163,6 +170,14 @@
                  .With("limit_bytes", bodies_.budget->limit()));
 }
 
+void Sidecar::RenewRequestIds() {
+  requests_.RenewWireIds(Now());
+  request_id_renewal_.expires_after(RequestTable::kWireIdRenewalInterval);
+  request_id_renewal_.async_wait([this](boost::system::error_code error) {
+    if (!error) RenewRequestIds();
+  });
+}
+
 void Sidecar::ShutDown(std::function<void()> done) {
   const TimePoint last_response_by = shutdown_.Begin(Now());
   intake_.LimitDeadlines(last_response_by);
--- a/sidecar/sidecar.h
+++ b/sidecar/sidecar.h
@@ -29,6 +29,7 @@
 #include "sidecar/memory_budget.h"
 #include "sidecar/operator_control.h"
 #include "sidecar/readiness.h"
+#include "sidecar/request_id_registry.h"
 #include "sidecar/request_intake.h"
 #include "sidecar/request_table.h"
 #include "sidecar/steady_balancer_clock.h"
@@ -72,6 +73,8 @@
   // forwarded here, and the previous process alone accepts clients.
   void ServeIfAble();
   void HandleMemoryBudgetExhausted();
+  // Keeps the ids of long requests reserved, now and at intervals.
+  void RenewRequestIds();
   // Called when the other process of a hot restart has connected, started to serve, or ended.
   void HandleNeighbourChange();
 
@@ -99,7 +102,9 @@
   DiscoveryClient discovery_;
   std::optional<std::uint64_t>
       known_revision_;  // of the endpoint list in the configuration; sent with the first polled query only
+  RequestIdRegistry request_ids_;
   RequestTable requests_;
+  boost::asio::steady_timer request_id_renewal_;
   AttemptLauncher launcher_;
   RequestIntake intake_;
   const TimePoint started_at_ = Now();
