Erase a request and its timers as soon as it has its final answer

One client that sent refused requests at full speed made the memory grow by about 150 bytes a request, until their deadlines: 41.7 MB of 32 MB after 8 s. An upload that was refused at once stayed in the module's table for good.

Cause: a request that got its final answer without an attempt was erased only by the timer of its deadline (RequestDispatcher::HandleRequestArrived), which an upload does not have; and timers stayed in the module and in BalancerHost until they fired, also those of requests long ended. The class: state of what has ended, kept until a time that a client chooses.

Change: each event that can end a request erases it, with its timers. The module tells which timers still matter (Balancer::IsTimerPending), and BalancerHost drops the others once they are half of all.

The flood's other client keeps one connection: with one each call, the test ran out of ports.

--- a/balancer/balancer.cpp
+++ b/balancer/balancer.cpp
@@ -28,6 +28,10 @@
   }
 
   std::size_t upstreams_visited() const { return components_.membership.visits(); }
+  bool IsTimerPending(std::uint64_t token) const {
+    return token == kHousekeepingToken || components_.requests.IsTimerPending(token);
+  }
+  std::size_t pending_timers() const { return components_.requests.pending_timers() + 1; }
 
  private:
   void Start(TimePoint now) {
@@ -120,6 +124,10 @@
   impl_->Handle(now, event, actions);
 }
 
+bool Balancer::IsTimerPending(std::uint64_t token) const { return impl_->IsTimerPending(token); }
+
+std::size_t Balancer::pending_timers() const { return impl_->pending_timers(); }
+
 std::size_t Balancer::upstreams_visited() const { return impl_->upstreams_visited(); }
 
 }  // namespace lb
--- a/balancer/balancer.h
+++ b/balancer/balancer.h
@@ -15,7 +15,9 @@
 // * the first event is the membership that the sidecar has stored, as `MembershipUpdate::Kind::kRestored`,
 //   even if it is empty;
 // * every `SendAttempt` is followed by exactly one `AttemptFinished`;
-// * every `SetTimer` is followed by one `TimerFired` at or after its time.
+// * every `SetTimer` is followed by one `TimerFired` at or after its time, unless the timer is not pending
+// any
+//   more by then (see `IsTimerPending()`).
 // The balancer guarantees exactly one final answer for each request, by the request's deadline: the response
 // of an attempt (an `AttemptFinished` with `response_delivered`), a `RejectRequest` or a `FailRequest`.
 #pragma once
@@ -45,6 +47,11 @@
   // upstreams are ignored.
   void Handle(TimePoint now, const Event& event, std::vector<Action>& actions);
 
+  // Whether the timer of a `SetTimer` still matters: a request's timers end with it. The sidecar may drop the
+  // others, so that their number stays bounded by that of the requests in flight.
+  bool IsTimerPending(std::uint64_t token) const;
+  std::size_t pending_timers() const;
+
   // The number of upstream entries visited so far: a deterministic measure of what the events cost. No
   // decision depends on it.
   std::size_t upstreams_visited() const;
--- a/balancer/events.h
+++ b/balancer/events.h
@@ -81,7 +81,7 @@
   RequestId request{};
 };
 
-// Follows each SetTimer exactly once, at or after its time.
+// Follows each SetTimer exactly once, at or after its time, unless the timer is not pending any more.
 struct TimerFired {
   std::uint64_t token = 0;
 };
--- a/balancer/request.h
+++ b/balancer/request.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -54,6 +55,7 @@
   TimePoint hedge_at;  // if no response has begun by then, the request is late compared with the usual time
   std::vector<Attempt> attempts;
   std::vector<LoadProbe> load_probes;  // probes whose reports the request waits for
+  std::vector<std::uint64_t> timers;   // tokens of all timers set for it, also of those that have fired
   bool client_retry = false;           // the request is a client's retry
   bool body_streams = false;           // the body is forwarded as it is received: one attempt at a time
   bool body_pending = false;           // the body is not complete yet
--- a/balancer/request_dispatcher.cpp
+++ b/balancer/request_dispatcher.cpp
@@ -27,6 +27,7 @@
   if (!request->body_pending) SetRequestTimer(*request, request->deadline);
   ContinueRequest(*request, now);
   if (!request->body_pending) ScheduleHedge(*request, now);
+  components_.requests.EraseIfDone(event.request);
 }
 
 void RequestDispatcher::HandleRequestCompleted(const RequestCompleted& event, TimePoint now) {
@@ -90,6 +91,7 @@
     Request* request = components_.requests.Find(id);
     if (request == nullptr || request->load_probes.empty()) continue;
     if (std::ranges::all_of(request->load_probes, &LoadProbe::answered)) SendByLoadReports(*request, now);
+    components_.requests.EraseIfDone(id);
   }
 }
 
@@ -98,11 +100,14 @@
   const auto id = components_.requests.TakeTimer(token);
   Request* request = id ? components_.requests.Find(*id) : nullptr;
   if (request == nullptr) return;
-  if (request->body_pending || now < request->deadline) {
-    if (!request->load_probes.empty()) return SendByLoadReports(*request, now);
-    return SendHedgedRequest(*request, now);
+  const bool is_deadline_over = !request->body_pending && now >= request->deadline;
+  if (!is_deadline_over && !request->load_probes.empty()) {
+    SendByLoadReports(*request, now);
+  } else if (!is_deadline_over) {
+    SendHedgedRequest(*request, now);
+  } else if (!request->response_started) {
+    FinishRequest(*request);
   }
-  if (!request->response_started) FinishRequest(*request);
   components_.requests.EraseIfDone(*id);
 }
 
--- a/balancer/request_table.cpp
+++ b/balancer/request_table.cpp
@@ -16,12 +16,15 @@
 
 void RequestTable::EraseIfDone(RequestId id) {
   const auto it = requests_.find(id);
-  if (it != requests_.end() && it->second.ended && !it->second.HasPendingAttempt()) requests_.erase(it);
+  if (it == requests_.end() || !it->second.ended || it->second.HasPendingAttempt()) return;
+  for (const std::uint64_t token : it->second.timers) timers_.erase(token);
+  requests_.erase(it);
 }
 
 std::uint64_t RequestTable::AddTimer(RequestId id) {
   const std::uint64_t token = ++last_token_;
   timers_.emplace(token, id);
+  requests_.at(id).timers.push_back(token);
   return token;
 }
 
--- a/balancer/request_table.h
+++ b/balancer/request_table.h
@@ -1,6 +1,7 @@
 // The requests that have no final answer yet or a pending attempt, and the timers set for them.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -16,14 +17,17 @@
   Request* Insert(RequestId id);
   // Returns null if the id is not known.
   Request* Find(RequestId id);
-  // Erases the request if it has its final answer and no pending attempt.
+  // Erases the request and its timers if it has its final answer and no pending attempt.
   void EraseIfDone(RequestId id);
+  std::size_t size() const { return requests_.size(); }
 
-  // Returns a token for a new timer of request `id`; tokens are unique and positive.
+  // Returns a token for a new timer of request `id`, which is in the table; tokens are unique and positive.
   std::uint64_t AddTimer(RequestId id);
   // Returns the request that a fired timer was set for, and removes the timer; nothing if the token is not
   // known.
   std::optional<RequestId> TakeTimer(std::uint64_t token);
+  std::size_t pending_timers() const { return timers_.size(); }
+  bool IsTimerPending(std::uint64_t token) const { return timers_.contains(token); }
 
  private:
   std::unordered_map<RequestId, Request> requests_;
--- a/sidecar/balancer_host.cpp
+++ b/sidecar/balancer_host.cpp
@@ -1,8 +1,15 @@
 #include "sidecar/balancer_host.h"
 
+#include <algorithm>
 #include <variant>
 
 namespace lb::sidecar {
+namespace {
+
+// Fewer timers are not worth a pass over them.
+constexpr std::size_t kMinTimersToDrop = 256;
+
+}  // namespace
 
 // The destructor restores the flag also when an exception is thrown: if the flag stayed set, the sidecar
 // would not handle any further event.
@@ -41,6 +48,7 @@
     if (balancer_time_) *balancer_time_ += std::chrono::steady_clock::now() - begun;
     for (const Action& action : actions_) Execute(action);
   }
+  DropEndedTimers();
   ArmTimer();
 }
 
@@ -52,7 +60,7 @@
     void operator()(const lb::CancelAttempt& a) const { handler.CancelAttempt(a); }
     void operator()(const lb::RejectRequest& a) const { handler.RejectRequest(a); }
     void operator()(const lb::FailRequest& a) const { handler.FailRequest(a); }
-    void operator()(const lb::SetTimer& a) const { host.timers_.emplace(a.at, a.token); }
+    void operator()(const lb::SetTimer& a) const { host.AddTimer({a.at, a.token}); }
     void operator()(const lb::SendLoadProbe& a) const { handler.StartLoadProbe(a); }
     void operator()(const lb::CloseIdleConnections& a) const { handler.CloseIdleConnections(a); }
     void operator()(const lb::Subscribe& a) const { handler.Subscribe(a); }
@@ -61,14 +69,30 @@
   std::visit(Dispatcher{*this, handler_}, action);
 }
 
-void BalancerHost::ArmTimer() { clock_.ArmTimer(timers_.empty() ? TimePoint::max() : timers_.top().first); }
+void BalancerHost::AddTimer(const Timer& timer) {
+  timers_.push_back(timer);
+  std::ranges::push_heap(timers_, std::greater());
+}
+
+BalancerHost::Timer BalancerHost::TakeFirstTimer() {
+  std::ranges::pop_heap(timers_, std::greater());
+  const Timer first = timers_.back();
+  timers_.pop_back();
+  return first;
+}
+
+void BalancerHost::DropEndedTimers() {
+  if (timers_.size() < kMinTimersToDrop || timers_.size() < 2 * balancer_.pending_timers()) return;
+  std::erase_if(timers_, [this](const Timer& timer) { return !balancer_.IsTimerPending(timer.second); });
+  std::ranges::make_heap(timers_, std::greater());
+}
+
+void BalancerHost::ArmTimer() { clock_.ArmTimer(timers_.empty() ? TimePoint::max() : timers_.front().first); }
 
 void BalancerHost::FireDueTimers() {
   const TimePoint now = clock_.Now();
-  while (!timers_.empty() && timers_.top().first <= now) {
-    const std::uint64_t token = timers_.top().second;
-    timers_.pop();
-    Deliver(lb::TimerFired{token});
+  while (!timers_.empty() && timers_.front().first <= now) {
+    Deliver(lb::TimerFired{TakeFirstTimer().second});
   }
   ArmTimer();
 }
--- a/sidecar/balancer_host.h
+++ b/sidecar/balancer_host.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <queue>
 #include <utility>
 #include <vector>
 
@@ -81,6 +80,10 @@
   using Timer = std::pair<TimePoint, std::uint64_t>;
 
   void Execute(const Action& action);
+  void AddTimer(const Timer& timer);
+  Timer TakeFirstTimer();
+  // Drops the timers that the balancer does not need any more, if they are most of all.
+  void DropEndedTimers();
   void ArmTimer();
 
   Balancer balancer_;
@@ -91,7 +94,7 @@
   std::vector<Action> actions_;  // those of the event that is being handled
   bool handling_ = false;        // true: new events are only queued
   TimePoint handled_at_;
-  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::vector<Timer> timers_;  // a heap with the earliest timer in front
 };
 
 }  // namespace lb::sidecar
--- a/tests/balancer/request_table_test.cpp
+++ b/tests/balancer/request_table_test.cpp
@@ -28,11 +28,26 @@
 
 TEST(RequestTable, ReturnsATimersRequestOnce) {
   RequestTable table;
+  table.Insert(RequestId{7});
   const std::uint64_t token = table.AddTimer(RequestId{7});
 
   EXPECT_EQ(table.TakeTimer(token), RequestId{7});
   EXPECT_EQ(table.TakeTimer(token), std::nullopt);
 }
 
+// Guards against timers that pile up until their time, however long that is.
+TEST(RequestTable, ErasesTheTimersOfARequestWithIt) {
+  RequestTable table;
+  Request& request = *table.Insert(RequestId{7});
+  const std::uint64_t token = table.AddTimer(RequestId{7});
+  request.ended = true;
+
+  table.EraseIfDone(RequestId{7});
+
+  EXPECT_EQ(table.size(), 0U);
+  EXPECT_EQ(table.pending_timers(), 0U);
+  EXPECT_FALSE(table.IsTimerPending(token));
+}
+
 }  // namespace
 }  // namespace lb
--- a/tests/client_flood_test.cpp
+++ b/tests/client_flood_test.cpp
@@ -64,8 +64,8 @@
   std::thread flooding([&] { sent = SendFlood(sidecar.port(), flood, until); });
 
   int answered = 0;
+  Client other(sidecar.port());
   while (std::chrono::steady_clock::now() < until) {
-    Client other(sidecar.port());
     const auto response = other.Get("/page/k", "other" + std::to_string(answered));
     if (!response || response->result_int() != (flood.has_upstream ? 200U : 503U)) break;
     ++answered;
