Hold heads as text, charge them to the memory budget, and refuse large ones beyond it

With 341 clients and 32 MB, heads of 1,500 short fields took 91 MB, several such heads in a row 43 MB, and response heads of 2,500 fields 157 MB: the process would have been killed for memory.

Cause: Beast keeps each field as an object of about 90 bytes, so that a head of 16 KiB takes 300 KB, twice where it is copied for an attempt, for as long as the request or the response lasts; and heads and read buffers counted against no common limit. The class: memory that is bounded for each message, not for their sum.

Change: HeaderFields holds a head as the text it was, and meets Beast's requirements, so that the messages' users stay as they are; only the parser's own copy lives for a moment. Its bytes, and those of client read buffers over 8 KiB, are charged to the memory budget. Beyond it, a request with a head over 4 KiB gets 503 with Retry-After, complete or not, and little is read ahead. The copies of a head for an attempt and for the client are freed once they are written, and buffers shrink to what they hold.

--- a/sidecar/admin.cpp
+++ b/sidecar/admin.cpp
@@ -46,7 +46,7 @@
                             [self = shared_from_this()](error_code error, std::size_t) {
                               if (self->owner_ == nullptr) return;
                               if (error) return self->HandleReadError(error);
-                              if (const char* fault = FramingFault(self->parser_.get())) {
+                              if (const char* fault = FramingFault(ToRequestHead(self->parser_.get()))) {
                                 return self->Respond(PlainResponse(http::status::bad_request, fault));
                               }
                               self->ReadBody();
--- a/sidecar/client_connection.cpp
+++ b/sidecar/client_connection.cpp
@@ -39,6 +39,8 @@
       writer_(socket_, [this](ResponseWriter::Outcome outcome) { HandleResponseWritten(outcome); }),
       probe_(socket_, writer_),
       unread_check_(context.io),
+      buffer_charge_(context.bodies.budget),
+      framing_(context.bodies.budget),
       body_({[this] { return GetReceiveProgress(); }, [this] { HandleBodyCapacity(); }},
             context.bodies.budget) {
   buffer_.max_size(kMaxReadAhead);
@@ -150,8 +152,8 @@
     body_.RecordPause();
     return ScheduleUnreadCheck();
   }
-  const std::size_t limit =
-      body_.IsStreaming() ? std::min(kReadSize, context_->bodies.stream_capacity) : kReadSize;
+  std::size_t limit = body_.IsStreaming() ? std::min(kReadSize, context_->bodies.stream_capacity) : kReadSize;
+  if (buffer_charge_.IsBudgetExhausted()) limit = std::min(limit, kMinBufferedHead);
   const std::size_t space = std::min(limit, buffer_.max_size() - buffer_.size());
   body_.BeginRead();
   // Any other event may come before the read completes, as a read is pending in all states. Closing the
@@ -163,9 +165,15 @@
 
 // While the stream of a body has no capacity, more bytes would only wait here instead of in the kernel.
 bool ClientConnection::IsReadAheadFull() const {
-  const bool is_stream_full = body_.IsStreaming() && body_.IsWaitingForCapacity();
-  return buffer_.size() >=
-         (is_stream_full ? std::min(context_->bodies.stream_capacity, kMaxReadAhead) : kMaxReadAhead);
+  std::size_t limit = kMaxReadAhead;
+  if (body_.IsStreaming() && body_.IsWaitingForCapacity()) {
+    limit = std::min(limit, context_->bodies.stream_capacity);
+  }
+  const bool is_pipelined = state_ == State::kAwaitingResponse || state_ == State::kWritingResponse;
+  if (is_pipelined && !body_.IsStreaming() && buffer_charge_.IsBudgetExhausted()) {
+    limit = std::min(limit, kMinBufferedHead);
+  }
+  return buffer_.size() >= limit;
 }
 
 // `space`: how many bytes the read could have returned.
@@ -182,16 +190,30 @@
 }
 
 void ClientConnection::ProcessBufferedBytes() {
+  ChargeBuffer();
   if (state_ == State::kLingering) {
     linger_.RecordDiscarded(buffer_.size());
     buffer_.consume(buffer_.size());
+    buffer_.shrink_to_fit();
     if (linger_.IsOverLimit()) return Close();
   }
   ParseRequest();
   HandleSendingEnded();
+  ChargeBuffer();
   Read();
 }
 
+void ClientConnection::ChargeBuffer() {
+  const std::size_t capacity = std::max(buffer_.capacity(), kUnchargedReadBuffer);
+  buffer_charge_.Set(capacity - kUnchargedReadBuffer);
+}
+
+// A larger head is refused while the memory budget is exhausted, also before it is complete.
+bool ClientConnection::IsHeadTooLargeToHold() const {
+  const std::size_t size = framing_.IsHeadComplete() ? framing_.head().size() : buffer_.size();
+  return size > kMinBufferedHead && buffer_charge_.IsBudgetExhausted();
+}
+
 void ClientConnection::ParseRequest() {
   while ((state_ == State::kReadingRequest || body_.IsStreaming()) && buffer_.size() > 0) {
     if (body_.IsStreaming() && !body_.HasCapacity()) return body_.WaitForCapacity();
@@ -201,6 +223,10 @@
     // The time limit of a first request runs from the start of the connection.
     if (step.request_began && !is_first_request) activity_.state_since = Now();
     if (step.outcome == RequestFraming::Outcome::kFault) return Reject(step.fault);
+    const bool is_head_new = step.head_complete || !framing_.IsHeadComplete();
+    if (is_head_new && IsHeadTooLargeToHold()) {
+      return Reject({http::status::service_unavailable, "no memory for the request"});
+    }
     if (step.head_complete) SendContinueIfExpected();
     if (!step.body.empty()) HandleBodyBytes(step.body);
     // The handler may already have responded to a streamed request.
@@ -239,6 +265,8 @@
   HttpRequest request;
   request.base() = framing_.TakeHead();
   request.body() = body_.TakeHeld();
+  // The head's bytes are gone from the buffer, which may have grown for them.
+  if (buffer_.capacity() > kUnchargedReadBuffer) buffer_.shrink_to_fit();
   HandleRequest(std::move(request), nullptr);
 }
 
--- a/sidecar/client_connection.h
+++ b/sidecar/client_connection.h
@@ -128,6 +128,8 @@
   bool IsReadAheadFull() const;
   void HandleReadResult(const IoResult& result, std::size_t space);
   void ProcessBufferedBytes();
+  void ChargeBuffer();
+  bool IsHeadTooLargeToHold() const;
   void ParseRequest();
   void HandleBodyBytes(boost::beast::string_view bytes);
   void BeginStreamedRequest();
@@ -168,6 +170,7 @@
   HalfCloseProbe probe_;
   boost::asio::steady_timer unread_check_;  // runs while the buffer is full
   boost::beast::flat_buffer buffer_;        // bytes read but not parsed yet
+  MemoryBudget::Charge buffer_charge_;
   RequestFraming framing_;
   RequestBody body_;
   // A request that is passed to its handler only after the half-close probe found its client connected.
--- a/sidecar/client_connection_exchange.cpp
+++ b/sidecar/client_connection_exchange.cpp
@@ -16,6 +16,7 @@
 // After draining or a planned stop began, requests that a client has pipelined are served for this long; then
 // the next response is the last one, so that a client that pipelines without end can't keep its connection.
 constexpr Duration kServePipelinedTime = std::chrono::seconds(1);
+constexpr boost::beast::string_view kRejectionRetryAfterSeconds = "1";
 
 }  // namespace
 
@@ -134,7 +135,11 @@
   close_after_response_ = true;
   request_awaiting_probe_.reset();
   NotifyDisconnected();
-  Respond(PlainResponse(fault.status, fault.reason), nullptr);
+  HttpResponse response = PlainResponse(fault.status, fault.reason);
+  if (fault.status == http::status::service_unavailable) {
+    response.set(http::field::retry_after, kRejectionRetryAfterSeconds);
+  }
+  Respond(std::move(response), nullptr);
 }
 
 }  // namespace lb::sidecar
--- a/sidecar/held_bytes.h
+++ b/sidecar/held_bytes.h
@@ -55,6 +55,13 @@
     bytes_.append(bytes, size);
     UpdateCharge();
   }
+  // A copy, which charges the same budget.
+  HeldBytes Copy() const {
+    HeldBytes copy;
+    copy.charge_ = MemoryBudget::Charge(charge_.budget());
+    copy.Append(bytes_.data(), bytes_.size());
+    return copy;
+  }
   // Removes the bytes and frees their memory.
   void Clear() {
     bytes_ = {};
--- a/sidecar/http.cpp
+++ b/sidecar/http.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <boost/beast/http/rfc7230.hpp>
+#include <set>
 #include <string>
-#include <vector>
 
 namespace lb::sidecar {
 
@@ -15,7 +15,26 @@
   if (!held.IsBudgetExhausted()) held.Reserve(std::min(length, kMaxBufferedBody));
 }
 
-const char* FramingFault(const http::request_header<>& header) {
+RequestHead ToRequestHead(const http::request_header<>& parsed, const std::shared_ptr<MemoryBudget>& budget) {
+  RequestHead head;
+  head.version(parsed.version());
+  head.method_string(parsed.method_string());
+  head.target(parsed.target());
+  head.Assign(parsed, budget);
+  return head;
+}
+
+ResponseHead ToResponseHead(const http::response_header<>& parsed,
+                            const std::shared_ptr<MemoryBudget>& budget) {
+  ResponseHead head;
+  head.version(parsed.version());
+  head.result(parsed.result_int());
+  head.reason(parsed.reason());
+  head.Assign(parsed, budget);
+  return head;
+}
+
+const char* FramingFault(const RequestHead& header) {
   if (header.version() != 10 && header.version() != 11) return "unknown version";
   const auto codings = header.count(http::field::transfer_encoding);
   const auto lengths = header.count(http::field::content_length);
@@ -40,18 +59,15 @@
   return response;
 }
 
-void RemoveHopByHop(http::fields& fields) {
-  std::vector<std::string> named;
-  const auto range = fields.equal_range(http::field::connection);
-  for (auto it = range.first; it != range.second; ++it) {
-    for (const auto& token : http::token_list(it->value())) named.emplace_back(token);
-  }
-  for (const auto& name : named) fields.erase(name);
-  for (const auto field : {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
-                           http::field::te, http::field::trailer, http::field::transfer_encoding,
-                           http::field::upgrade, http::field::content_length, http::field::expect}) {
-    fields.erase(field);
+void RemoveHopByHop(HeaderFields& fields) {
+  std::set<std::string, boost::beast::iless> names = {"Connection", "Keep-Alive",     "Proxy-Connection",
+                                                      "TE",         "Trailer",        "Transfer-Encoding",
+                                                      "Upgrade",    "Content-Length", "Expect"};
+  for (const auto value : fields.Values("Connection")) {
+    for (const auto& token : http::token_list(value)) names.emplace(token);
   }
+  fields.RemoveIf(
+      [&names](const HeaderFields::Field& field) { return names.count(std::string(field.name)) > 0; });
 }
 
 }  // namespace lb::sidecar
--- a/sidecar/memory_budget.h
+++ b/sidecar/memory_budget.h
@@ -48,6 +48,7 @@
       const std::size_t before = std::exchange(bytes_, bytes);
       if (budget_) budget_->Replace(before, bytes);
     }
+    const std::shared_ptr<MemoryBudget>& budget() const { return budget_; }
     bool IsBudgetExhausted() const { return budget_ && budget_->IsExhausted(); }
 
    private:
--- a/sidecar/request_framing.cpp
+++ b/sidecar/request_framing.cpp
@@ -54,6 +54,7 @@
   parser_.emplace();
   parser_->body_limit(kMaxStreamedBody);
   parser_->header_limit(kMaxHeaderSize);
+  head_ = {};
   scanned_ = 0;
   request_began_ = false;
   skipped_empty_line_ = false;
@@ -113,6 +114,7 @@
   } else if (parser_->is_header_done() && !head_checked_) {
     head_checked_ = true;
     step.head_complete = true;
+    StoreHead();
     fault = CheckParsedHead();
   }
   if (fault) {
@@ -122,6 +124,7 @@
   }
   step.body = {piece, sizeof piece - parser_->get().body().size};
   if (parser_->is_done()) {
+    head_.Append(parser_->get());
     step.outcome = Outcome::kRequestComplete;
   } else if (used > 0) {
     step.outcome = Outcome::kProgress;
@@ -131,6 +134,14 @@
   }
 }
 
+// Afterwards the parser has no fields; it adds those of the trailers.
+void RequestFraming::StoreHead() {
+  http::request_header<>& parsed = parser_->get().base();
+  head_ = ToRequestHead(parsed, budget_);
+  parsed.clear();
+  parsed.target({});
+}
+
 std::optional<RequestFault> RequestFraming::CheckParsedHead() {
   if (const char* reason = FramingFault(head())) return RequestFault{http::status::bad_request, reason};
   if (parser_->content_length().value_or(0) > kMaxStreamedBody) {
--- a/sidecar/request_framing.h
+++ b/sidecar/request_framing.h
@@ -10,8 +10,10 @@
 #include <boost/optional.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "sidecar/http.h"
 
@@ -59,7 +61,10 @@
     RequestFault fault{};
   };
 
-  RequestFraming() { StartRequest(); }
+  // `budget`: that the heads are charged to; may be null.
+  explicit RequestFraming(std::shared_ptr<MemoryBudget> budget = nullptr) : budget_(std::move(budget)) {
+    StartRequest();
+  }
 
   // Resets the state for the next request of the connection.
   void StartRequest();
@@ -73,8 +78,10 @@
   // received after it. If these do not begin like a request, the length of the body was wrong.
   std::optional<RequestFault> CheckComplete(boost::beast::string_view next_bytes) const;
 
-  const http::request_header<>& head() const { return parser_->get().base(); }
-  http::request_header<> TakeHead() { return std::move(parser_->get().base()); }
+  // Empty until the head is complete; includes the trailers once the request is.
+  const RequestHead& head() const { return head_; }
+  RequestHead TakeHead() { return std::move(head_); }
+  bool IsHeadComplete() const { return head_checked_; }
   boost::optional<std::uint64_t> content_length() const { return parser_->content_length(); }
   // Number of bytes of the body not consumed yet; nothing if the length is not known in advance.
   boost::optional<std::uint64_t> content_length_remaining() const {
@@ -89,10 +96,14 @@
   bool SkipEmptyLine(boost::beast::flat_buffer& buffer, Step& step);
   bool CheckHeadBytes(boost::beast::string_view bytes, Step& step);
   void Parse(boost::beast::flat_buffer& buffer, Piece& piece, Step& step);
+  void StoreHead();
   std::optional<RequestFault> CheckParsedHead();
 
   // Created anew for each request: a Beast parser can't be reused.
   std::optional<http::request_parser<http::buffer_body>> parser_;
+  // What the parser has read, in less memory.
+  RequestHead head_;
+  std::shared_ptr<MemoryBudget> budget_;
   std::size_t scanned_ = 0;  // number of bytes scanned of an incomplete head
   bool request_began_ = false;
   bool any_request_began_ = false;
--- a/sidecar/request_validation.cpp
+++ b/sidecar/request_validation.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
-#include <iterator>
 
 namespace lb::sidecar {
 namespace {
@@ -13,9 +12,9 @@
 
 // Returns the value of a header; nothing if the header is missing or repeated.
 std::optional<string_view> SingleValue(const HttpRequest& request, string_view name) {
-  const auto range = request.equal_range(name);
-  if (range.first == range.second || std::next(range.first) != range.second) return std::nullopt;
-  return range.first->value();
+  const auto values = request.Values(name);
+  if (values.size() != 1) return std::nullopt;
+  return values.front();
 }
 
 bool IsVisibleAscii(string_view text) {
--- a/sidecar/request_writer.cpp
+++ b/sidecar/request_writer.cpp
@@ -37,10 +37,17 @@
   return [this, last, on_written = std::move(on_written)](error_code error, std::size_t) {
     is_writing_ = false;
     is_complete_ = body_ ? last == LastByte::kIncluded && !error : serializer_->is_done();
+    FreeHead();
     on_written(error);
   };
 }
 
+// The head, once written, is not needed any more, and the response may take long.
+void RequestWriter::FreeHead() {
+  serializer_.reset();
+  message_.reset();
+}
+
 void RequestWriter::WriteHead(OnWritten on_written) {
   is_writing_ = true;
   auto on_completed = Completion(std::move(on_written), body_ ? LastByte::kFollows : LastByte::kIncluded);
@@ -79,8 +86,7 @@
 }
 
 void RequestWriter::Clear() {
-  serializer_.reset();
-  message_.reset();
+  FreeHead();
   body_ = nullptr;
   piece_.Clear();
   is_complete_ = false;
--- a/sidecar/request_writer.h
+++ b/sidecar/request_writer.h
@@ -55,17 +55,19 @@
   void Clear();
 
  private:
-  using Message = http::request<http::span_body<const char>>;
+  using SpanBody = http::span_body<const char>;
+  using Message = http::message<true, SpanBody, HeaderFields>;
 
   // Whether a write includes the last byte of the request.
   enum class LastByte { kFollows, kIncluded };
 
   // Returns the completion handler of a write: updates the state of this object, then calls `on_written`.
   std::function<void(boost::system::error_code, std::size_t)> Completion(OnWritten on_written, LastByte last);
+  void FreeHead();
 
   WriteStream stream_;
   std::optional<Message> message_;
-  std::optional<http::request_serializer<http::span_body<const char>>> serializer_;
+  std::optional<http::request_serializer<SpanBody, HeaderFields>> serializer_;
   Body body_;
   HeldBytes piece_;
   LastByte piece_end_ = LastByte::kFollows;
--- a/sidecar/response_framing.h
+++ b/sidecar/response_framing.h
@@ -8,7 +8,9 @@
 #include <boost/optional.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
+#include <utility>
 
 #include "balancer/balancer.h"
 #include "sidecar/http.h"
@@ -18,7 +20,7 @@
 // Returns kServed for 200, kRejected for 503 and 504 with X-Not-Processed: 1, and kError for all others. Only
 // that header proves that the request was not processed: a 503 without it may have been sent after processing
 // had begun.
-lb::Outcome ClassifyResponse(const http::response_header<>& head);
+lb::Outcome ClassifyResponse(const ResponseHead& head);
 
 // Frames the responses on one connection, one exchange after another. The connection reads into Beast's
 // parser, which this class owns.
@@ -38,6 +40,9 @@
     kStreamBody,    // length above kMaxBufferedBody
   };
 
+  // `budget`: that the heads are charged to; may be null.
+  explicit ResponseFraming(std::shared_ptr<MemoryBudget> budget = nullptr) : budget_(std::move(budget)) {}
+
   // Prepares for the responses to a new request.
   void StartExchange() { interim_responses_ = 0; }
   // Returns a new parser for the next head and, unless the response is an interim one, its body. The caller
@@ -49,7 +54,7 @@
 
   Parser& parser() { return *parser_; }
   // Valid from ExamineHead() to TakeHead().
-  const http::response_header<>& head() const { return parser_->get().base(); }
+  const ResponseHead& head() const { return head_; }
   // Length of the body in bytes; none if it is chunked or ends with the close of the connection.
   boost::optional<std::uint64_t> content_length() const { return parser_->content_length(); }
   // Only a served response may be larger than kMaxBufferedBody.
@@ -63,15 +68,25 @@
   bool IsComplete() const { return parser_->is_done(); }
 
   // Whether the connection may carry another request after this response. Valid when IsComplete().
-  bool KeepsConnection() const { return parser_->get().keep_alive() && !parser_->need_eof(); }
-  // Moves the head out into a response without a body.
+  bool KeepsConnection() const { return parser_->keep_alive(); }
+  // Moves the head out into a response without a body. Its trailers are among the fields.
   HttpResponse TakeHead();
+  // Moves the head out when the body begins to be streamed; TakeHead() returns only its status and load
+  // report then.
+  HttpResponse TakeHeadForStream();
 
   // Frees the memory of the last exchange.
-  void Clear() { parser_.reset(); }
+  void Clear() {
+    parser_.reset();
+    head_ = {};
+  }
 
  private:
+  void StoreHead();
+
   std::optional<Parser> parser_;
+  ResponseHead head_;  // what the parser has read, in less memory
+  std::shared_ptr<MemoryBudget> budget_;
   int interim_responses_ = 0;  // to the current request
 };
 
--- a/sidecar/response_writer.cpp
+++ b/sidecar/response_writer.cpp
@@ -99,9 +99,13 @@
   // While the head is being written, more of the body, its end or its abort may arrive; they are handled when
   // the write completes. The connection may also be closed.
   WriteAfterInterim([this] {
-    http::async_write_header(
-        stream_, *serializer_,
-        [this, owner = owner_.lock()](error_code error, std::size_t) { ContinueStream(error); });
+    http::async_write_header(stream_, *serializer_,
+                             [this, owner = owner_.lock()](error_code error, std::size_t) {
+                               // The stream may last long, and its head is not needed any more.
+                               serializer_.reset();
+                               response_ = {};
+                               ContinueStream(error);
+                             });
   });
 }
 
--- a/sidecar/response_writer.h
+++ b/sidecar/response_writer.h
@@ -92,7 +92,7 @@
   std::string pending_interim_;             // rest of an interim response, to be sent before the response
   std::size_t status_line_bytes_sent_ = 0;  // to an HTTP/1.0 client, as probes
   HttpResponse response_;
-  std::optional<http::response_serializer<HeldBody>> serializer_;
+  std::optional<http::response_serializer<HeldBody, HeaderFields>> serializer_;
   Body body_;        // the body of a streamed response
   HeldBytes piece_;  // the part of `body_` that is being written
   bool writing_piece_ = false;
--- a/sidecar/upstream_connection.cpp
+++ b/sidecar/upstream_connection.cpp
@@ -28,6 +28,7 @@
       socket_(context.io),
       timer_(context.io),
       writer_(socket_),
+      framing_(context.bodies.budget),
       body_(context.bodies.budget) {
   buffer_.max_size(kMaxReadAhead);
 }
@@ -170,6 +171,8 @@
   using HeadAction = ResponseFraming::HeadAction;
   using RequestProgress = ResponseFraming::RequestProgress;
   if (error) return Fail(Failure::kBroken, error);
+  // The head's bytes are gone from the buffer, which may have grown for them.
+  buffer_.shrink_to_fit();
   const auto progress = writer_.is_complete() ? RequestProgress::kComplete : RequestProgress::kIncomplete;
   switch (framing_.ExamineHead(progress)) {
     case HeadAction::kReadNextHead:
@@ -203,9 +206,7 @@
   error_code ignored;
   socket_.set_option(boost::asio::socket_base::receive_buffer_size(kStreamReceiveBuffer), ignored);
   ArmTimer(ExchangeDeadlines::NextBytes(Now()));
-  HttpResponse head;
-  head.base() = framing_.head();
-  exchange_.request.on_response_started(std::move(head), std::move(stream));
+  exchange_.request.on_response_started(framing_.TakeHeadForStream(), std::move(stream));
 }
 
 // The pending read of the body continues. A response that has begun is not given up because its body is late.
--- a/tests/sidecar/response_framing_test.cpp
+++ b/tests/sidecar/response_framing_test.cpp
@@ -64,7 +64,7 @@
 }
 
 Outcome OutcomeOf(unsigned status, const std::string& not_processed = "") {
-  http::response_header<> head;
+  ResponseHead head;
   head.result(status);
   if (!not_processed.empty()) head.set("X-Not-Processed", not_processed);
   return ClassifyResponse(head);
