--- a/tests/sidecar_process.cpp
+++ b/tests/sidecar_process.cpp
@@ -57,6 +57,8 @@
     if (!options.tmpdir.empty()) ::setenv("TMPDIR", options.tmpdir.c_str(), 1);
     for (const auto& [name, value] : options.environment) ::setenv(name.c_str(), value.c_str(), 1);
     for (const auto& name : options.unset) ::unsetenv(name.c_str());
+    // The program must not hold connections of the test open that the test closes.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execl(LB_SIDECAR_PROGRAM, LB_SIDECAR_PROGRAM, nullptr);
     ::_exit(127);
   }
