--- a/sidecar/admin_commands.cpp
+++ b/sidecar/admin_commands.cpp
@@ -17,6 +17,7 @@
   if (target == "/drain") return StartDraining{};
   if (target == "/undrain") return StopDraining{};
   if (target == "/ready") return QueryReadiness{};
+  if (target == "/metrics") return QueryMetrics{};
   return std::nullopt;
 }
 
@@ -38,8 +39,9 @@
                                                                 const std::string& target) {
   auto command = CommandOf(target);
   if (!command) return AdminCommandError{AdminCommandError::Kind::kUnknownTarget, {}};
-  const http::verb expected =
-      std::holds_alternative<QueryReadiness>(*command) ? http::verb::get : http::verb::post;
+  const bool is_query =
+      std::holds_alternative<QueryReadiness>(*command) || std::holds_alternative<QueryMetrics>(*command);
+  const http::verb expected = is_query ? http::verb::get : http::verb::post;
   if (method != expected) return AdminCommandError{AdminCommandError::Kind::kWrongMethod, expected};
   return *std::move(command);
 }
--- a/sidecar/admin_commands.h
+++ b/sidecar/admin_commands.h
@@ -28,8 +28,11 @@
 // GET /ready: queries whether the sidecar is ready for new clients.
 struct QueryReadiness {};
 
+// GET /metrics: queries the counts of requests and attempts.
+struct QueryMetrics {};
+
 using AdminCommand =
-    std::variant<DisableUpstream, EnableUpstream, StartDraining, StopDraining, QueryReadiness>;
+    std::variant<DisableUpstream, EnableUpstream, StartDraining, StopDraining, QueryReadiness, QueryMetrics>;
 
 // A request that is not a valid command.
 struct AdminCommandError {
@@ -53,7 +56,7 @@
 // The result of a command.
 struct AdminReply {
   AdminStatus status = AdminStatus::kDone;
-  std::string text;           // human-readable; one line
+  std::string text;           // human-readable; one line, but for metrics
   std::string storage_fault;  // why the operator state is not stored; empty if it is
 };
 
--- a/sidecar/attempt_launcher.cpp
+++ b/sidecar/attempt_launcher.cpp
@@ -56,8 +56,8 @@
 }  // namespace
 
 AttemptLauncher::AttemptLauncher(boost::asio::io_context& io, BalancerHost& host, RequestTable& requests,
-                                 Upstreams& upstreams, Logger& log)
-    : io_(io), host_(host), requests_(requests), upstreams_(upstreams), log_(log) {}
+                                 Upstreams& upstreams, RequestCounters& counters, Logger& log)
+    : io_(io), host_(host), requests_(requests), upstreams_(upstreams), counters_(counters), log_(log) {}
 
 void AttemptLauncher::StartAttempt(const lb::SendAttempt& action) {
   InFlightRequest* request = requests_.Find(action.request);
@@ -168,7 +168,9 @@
   head.version(11);
   RemoveHopByHop(head);
   request->responding_attempt = attempt;
+  counters_.Count(RequestEnd::kServed);
   if (!body->length() && !body->HasData()) {
+    counters_.CountForwardedHead();
     log_.Write(LogEvent(log_events::kResponseHeadForwarded).With("request_id", request->wire_id));
   }
   Respond(*request, std::move(head), std::move(body));
@@ -192,6 +194,7 @@
   --request->unfinished_attempts;
   LogFailedAttempt(*request, decided, result);
   if (result.outcome == Outcome::kServed && request->AwaitsResponse()) {
+    counters_.Count(RequestEnd::kServed);
     Respond(*request, CompleteResponse(result.response));
   }
 
@@ -217,6 +220,7 @@
   auto outcome = FaultName(result.outcome);
   if (is_streaming && result.outcome == Outcome::kCancelled) outcome = "client_disconnected";
   if (!outcome) return;
+  counters_.CountFailedAttempt(result.progress);
   LogEvent event(log_events::kAttemptFailed);
   event.With("request_id", request.wire_id)
       .With("upstream", decided.action.upstream.value)
--- a/sidecar/attempt_launcher.h
+++ b/sidecar/attempt_launcher.h
@@ -14,6 +14,7 @@
 #include "sidecar/http.h"
 #include "sidecar/listener.h"
 #include "sidecar/log.h"
+#include "sidecar/request_counters.h"
 #include "sidecar/request_table.h"
 #include "sidecar/upstreams.h"
 
@@ -23,7 +24,7 @@
  public:
   // All arguments must outlive the launcher, and `io` must not run after the launcher is destroyed.
   AttemptLauncher(boost::asio::io_context& io, BalancerHost& host, RequestTable& requests,
-                  Upstreams& upstreams, Logger& log);
+                  Upstreams& upstreams, RequestCounters& counters, Logger& log);
 
   // Starts the attempt, and delivers exactly one AttemptFinished to the balancer when it ends. Does nothing
   // if the request is not in the table.
@@ -69,6 +70,7 @@
   BalancerHost& host_;
   RequestTable& requests_;
   Upstreams& upstreams_;
+  RequestCounters& counters_;
   Logger& log_;
   std::uint64_t last_exchange_ = 0;
 };
--- a/sidecar/client_connection.cpp
+++ b/sidecar/client_connection.cpp
@@ -209,7 +209,8 @@
 }
 
 // A larger head is refused while the memory budget is exhausted, also before it is complete.
-bool ClientConnection::IsHeadTooLargeToHold() const {
+bool ClientConnection::IsHeadTooLargeToHold(const RequestFraming::Step& step) const {
+  if (framing_.IsHeadComplete() && !step.head_complete) return false;
   const std::size_t size = framing_.IsHeadComplete() ? framing_.head().size() : buffer_.size();
   return size > kMinBufferedHead && buffer_charge_.IsBudgetExhausted();
 }
@@ -223,8 +224,7 @@
     // The time limit of a first request runs from the start of the connection.
     if (step.request_began && !is_first_request) activity_.state_since = Now();
     if (step.outcome == RequestFraming::Outcome::kFault) return Reject(step.fault);
-    const bool is_head_new = step.head_complete || !framing_.IsHeadComplete();
-    if (is_head_new && IsHeadTooLargeToHold()) {
+    if (IsHeadTooLargeToHold(step)) {
       return Reject({http::status::service_unavailable, "no memory for the request"});
     }
     if (step.head_complete) SendContinueIfExpected();
--- a/sidecar/client_connection.h
+++ b/sidecar/client_connection.h
@@ -77,9 +77,9 @@
 };
 
 // A read is pending in every state in which the buffer has room, also while a request is served; that is how
-// a disconnect of the client is noticed. The class has two data members more than the usual limit:
-// `sending_ended_` and `close_after_response_` are independent of the state, as their comments explain, and
-// must not be visible to the components.
+// a disconnect of the client is noticed. The class has more data members than the usual limit:
+// `buffer_charge_` goes with `buffer_`, and `sending_ended_` and `close_after_response_` are independent of
+// the state, as their comments explain, and must not be visible to the components.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   enum class State { kReadingRequest, kAwaitingResponse, kWritingResponse, kLingering, kClosed };
@@ -129,7 +129,7 @@
   void HandleReadResult(const IoResult& result, std::size_t space);
   void ProcessBufferedBytes();
   void ChargeBuffer();
-  bool IsHeadTooLargeToHold() const;
+  bool IsHeadTooLargeToHold(const RequestFraming::Step& step) const;
   void ParseRequest();
   void HandleBodyBytes(boost::beast::string_view bytes);
   void BeginStreamedRequest();
--- a/sidecar/header_fields.cpp
+++ b/sidecar/header_fields.cpp
@@ -61,12 +61,13 @@
   string_view rest(text_.data(), text_.size());
   while (!rest.empty()) {
     const string_view line = rest.substr(0, rest.find('\n') + 1);
-    const std::size_t name_size = line.find(':');
+    rest.remove_prefix(line.size());
+    const std::size_t name_size = line.find(kSeparator);
+    if (name_size == string_view::npos) continue;  // a line break within a value
     const std::size_t value_at = name_size + kSeparator.size();
     const Field field{line.substr(0, name_size),
                       line.substr(value_at, line.size() - value_at - kLineEnd.size())};
     if (!visit(field, line)) return;
-    rest.remove_prefix(line.size());
   }
 }
 
--- a/sidecar/header_fields.h
+++ b/sidecar/header_fields.h
@@ -27,10 +27,9 @@
 // there are few in usual heads. The bytes are charged to the budget that Assign() is given.
 class HeaderFields {
  public:
-  using string_view = boost::beast::string_view;
   struct Field {
-    string_view name;
-    string_view value;
+    boost::beast::string_view name;
+    boost::beast::string_view value;
   };
 
   HeaderFields() = default;
@@ -46,25 +45,28 @@
   void Append(const boost::beast::http::fields& fields);
 
   // The views are valid until the fields change. Names are compared without regard to case.
-  std::vector<string_view> Values(string_view name) const;
-  std::size_t count(string_view name) const;
+  std::vector<boost::beast::string_view> Values(boost::beast::string_view name) const;
+  std::size_t count(boost::beast::string_view name) const;
   std::size_t count(boost::beast::http::field name) const { return count(to_string(name)); }
   // Returns the first value; empty if there is none.
-  string_view operator[](string_view name) const;
-  string_view operator[](boost::beast::http::field name) const { return (*this)[to_string(name)]; }
+  boost::beast::string_view operator[](boost::beast::string_view name) const;
+  boost::beast::string_view operator[](boost::beast::http::field name) const {
+    return (*this)[to_string(name)];
+  }
 
   // Replaces all fields of this name by one.
-  void set(string_view name, string_view value);
-  void set(boost::beast::http::field name, string_view value) { set(to_string(name), value); }
-  void insert(string_view name, string_view value);
-  void erase(string_view name);
+  void set(boost::beast::string_view name, boost::beast::string_view value);
+  void set(boost::beast::http::field name, boost::beast::string_view value) { set(to_string(name), value); }
+  void insert(boost::beast::string_view name, boost::beast::string_view value);
+  void erase(boost::beast::string_view name);
   void erase(boost::beast::http::field name) { erase(to_string(name)); }
   void RemoveIf(const std::function<bool(const Field&)>& predicate);
 
   // The size of all fields on the wire, in bytes.
   std::size_t size() const { return text_.size(); }
 
-  // Gives Beast's serializer the start line, the fields and the empty line.
+  // Gives Beast's serializer the start line, the fields and the empty line. The names are Beast's.
+  // NOLINTBEGIN(readability-identifier-naming)
   class writer {
    public:
     using const_buffers_type = std::array<boost::asio::const_buffer, 3>;
@@ -77,17 +79,18 @@
     const HeaderFields& fields_;
     std::string start_line_;
   };
+  // NOLINTEND(readability-identifier-naming)
 
   // Beast's requirements of Fields.
-  string_view get_method_impl() const { return method_; }
-  string_view get_target_impl() const { return target_; }
-  string_view get_reason_impl() const { return reason_; }
+  boost::beast::string_view get_method_impl() const { return method_; }
+  boost::beast::string_view get_target_impl() const { return target_; }
+  boost::beast::string_view get_reason_impl() const { return reason_; }
   bool get_chunked_impl() const;
   bool get_keep_alive_impl(unsigned version) const;
   bool has_content_length_impl() const { return count("Content-Length") > 0; }
-  void set_method_impl(string_view method) { method_ = std::string(method); }
-  void set_target_impl(string_view target) { target_ = std::string(target); }
-  void set_reason_impl(string_view reason) { reason_ = std::string(reason); }
+  void set_method_impl(boost::beast::string_view method) { method_ = std::string(method); }
+  void set_target_impl(boost::beast::string_view target) { target_ = std::string(target); }
+  void set_reason_impl(boost::beast::string_view reason) { reason_ = std::string(reason); }
   void set_chunked_impl(bool chunked);
   void set_content_length_impl(const boost::optional<std::uint64_t>& length);
   void set_keep_alive_impl(unsigned version, bool keep_alive);
--- a/sidecar/operator_control.cpp
+++ b/sidecar/operator_control.cpp
@@ -11,10 +11,11 @@
 
 OperatorControl::OperatorControl(boost::asio::io_context& io, const Endpoint& endpoint,
                                  const std::string& folder, const Targets& targets,
-                                 GetServingState get_serving_state,
+                                 GetServingState get_serving_state, GetMetrics get_metrics,
                                  OperatorStateStore::OnOverride on_override)
     : targets_(targets),
       get_serving_state_(std::move(get_serving_state)),
+      get_metrics_(std::move(get_metrics)),
       store_(
           io, folder, targets.log, [this](const OperatorState& state) { ApplyOperatorState(state); },
           std::move(on_override)) {
@@ -74,6 +75,10 @@
   return Reply(AdminStatus::kNotReady, "not ready: " + std::string(ToString(*reason)));
 }
 
+AdminReply OperatorControl::Execute(const QueryMetrics& /*command*/) const {
+  return {AdminStatus::kDone, get_metrics_(), ""};
+}
+
 AdminReply OperatorControl::Reply(AdminStatus status, const std::string& text) const {
   return {status, text, store_.StorageFault()};
 }
--- a/sidecar/operator_control.h
+++ b/sidecar/operator_control.h
@@ -30,6 +30,8 @@
     Listener& listener;
     Logger& log;
   };
+  // Returns the metrics in Prometheus's text format.
+  using GetMetrics = std::function<std::string()>;
   // Returns the sidecar's state without `draining`, which is part of the operator state.
   using GetServingState = std::function<ServingState()>;
 
@@ -37,7 +39,7 @@
   // listens at `endpoint`; throws ConfigError if binding fails. `on_override` is called with each override
   // that operators set or withdraw through this process.
   OperatorControl(boost::asio::io_context& io, const Endpoint& endpoint, const std::string& folder,
-                  const Targets& targets, GetServingState get_serving_state,
+                  const Targets& targets, GetServingState get_serving_state, GetMetrics get_metrics,
                   OperatorStateStore::OnOverride on_override);
 
   Endpoint local() const { return admin_->local(); }
@@ -50,6 +52,7 @@
   AdminReply Execute(const StartDraining& command);
   AdminReply Execute(const StopDraining& command);
   AdminReply Execute(const QueryReadiness& command) const;
+  AdminReply Execute(const QueryMetrics& command) const;
   AdminReply DrainingReply() const;
   // The reply to a command, which is already in effect. Includes the reason if the operator state is not
   // stored and would not outlast this process.
@@ -62,6 +65,7 @@
 
   const Targets targets_;
   const GetServingState get_serving_state_;
+  const GetMetrics get_metrics_;
   std::set<std::string> disabled_;  // upstream ids; as last applied to the targets
   OperatorStateStore store_;
   // Has a value once constructed. Declared last: its requests use all other members.
--- a/sidecar/request_id_registry.cpp
+++ b/sidecar/request_id_registry.cpp
@@ -8,8 +8,6 @@
 #include <algorithm>
 #include <bit>
 #include <new>
-#include <random>
-#include <system_error>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -51,14 +49,10 @@
   return entry >> kTimeBits == fingerprint && TimeLeft(entry, now) > Duration::zero();
 }
 
-std::uint64_t RandomSeed() {
-  std::random_device random;
-  return (std::uint64_t{random()} << 32U) | random();
-}
-
 }  // namespace
 
-RequestIdRegistry::RequestIdRegistry(std::size_t slots, const std::string& path) {
+RequestIdRegistry::RequestIdRegistry(std::size_t slots, const std::string& path, std::uint64_t seed)
+    : seed_(seed) {
   const std::size_t rounded = std::bit_ceil(std::max(slots, kMinSlots));
   is_shared_ = !path.empty() && (OpenFile(path) || CreateFile(path, rounded) || OpenFile(path));
   if (is_shared_) return;
@@ -115,7 +109,7 @@
   return true;
 }
 
-void RequestIdRegistry::Initialize(std::size_t slots) { *header_ = {kMagic, slots, RandomSeed()}; }
+void RequestIdRegistry::Initialize(std::size_t slots) { *header_ = {kMagic, slots, seed_}; }
 
 // ---- Ids ----
 
--- a/sidecar/request_id_registry.h
+++ b/sidecar/request_id_registry.h
@@ -33,7 +33,8 @@
   // `slots`: how many ids there is room for, about a third more than are kept at a time; rounded up to a
   // power of two of at least kMinSlots. `path`: the file to share; empty: none. An existing file keeps its
   // size.
-  RequestIdRegistry(std::size_t slots, const std::string& path);
+  // `seed`: of the hash, for a new table.
+  RequestIdRegistry(std::size_t slots, const std::string& path, std::uint64_t seed);
   ~RequestIdRegistry();
   RequestIdRegistry(const RequestIdRegistry&) = delete;
   RequestIdRegistry& operator=(const RequestIdRegistry&) = delete;
@@ -71,6 +72,8 @@
   // Maps the file or, for a negative `descriptor`, memory of this process alone. Returns false on an error.
   bool Map(int descriptor, std::size_t size);
   void Initialize(std::size_t slots);
+
+  const std::uint64_t seed_;  // of a new table
   Position PositionOf(std::string_view id) const;
   Slot& SlotAt(const Position& position, std::size_t offset) const;
   Slot* Find(const Position& position, TimePoint now, const Slot* except = nullptr) const;
--- a/sidecar/request_intake.cpp
+++ b/sidecar/request_intake.cpp
@@ -29,14 +29,23 @@
 }  // namespace
 
 RequestIntake::RequestIntake(boost::asio::io_context& io, const Settings& settings, BalancerHost& host,
-                             RequestTable& requests, AttemptLauncher& launcher, Logger& log)
-    : io_(io), validator_(settings), host_(host), requests_(requests), launcher_(launcher), log_(log) {}
+                             RequestTable& requests, AttemptLauncher& launcher, RequestCounters& counters,
+                             Logger& log)
+    : io_(io),
+      validator_(settings),
+      host_(host),
+      requests_(requests),
+      launcher_(launcher),
+      counters_(counters),
+      log_(log) {}
 
 Listener::OnDisconnected RequestIntake::AcceptRequest(HttpRequest message, Body body,
                                                       Listener::SendResponse send_response,
                                                       Listener::CheckClient check_client) {
   const TimePoint now = Now();
-  const auto reject = [&send_response](RequestError error) {
+  const auto reject = [this, &send_response](RequestError error) {
+    const bool is_repeated = error == RequestError::kDuplicateRequestId;
+    counters_.Count(is_repeated ? RequestEnd::kRepeatedId : RequestEnd::kInvalid);
     send_response(BadRequestResponse(error), nullptr);
     return nullptr;
   };
@@ -53,6 +62,7 @@
       return reject(RequestError::kDuplicateRequestId);
     case RequestIdRegistry::ClaimResult::kFull:
       log_.Write(LogEvent(log_events::kRequestIdsFull).With("request_id", valid.wire_id));
+      counters_.Count(RequestEnd::kNoRoomForId);
       send_response(RejectedResponse(kFullRegistryRetryAfter), nullptr);
       return nullptr;
   }
@@ -125,6 +135,7 @@
 void RequestIntake::HandleClientDisconnected(RequestId id) {
   InFlightRequest* request = requests_.Find(id);
   if (!request || !request->AwaitsResponse()) return;
+  counters_.Count(RequestEnd::kClientDisconnected);
   request->send_response = nullptr;
   launcher_.AbandonUnsent(*request);
   host_.Deliver(lb::RequestCancelled{id});
@@ -134,6 +145,7 @@
 void RequestIntake::RejectRequest(const lb::RejectRequest& action) {
   InFlightRequest* request = requests_.Find(action.request);
   if (!request) return;
+  if (request->AwaitsResponse()) counters_.Count(RequestEnd::kRejected);
   launcher_.Respond(*request, RejectedResponse(action.retry_after));
   requests_.RemoveIfEnded(action.request, Now());
 }
@@ -142,6 +154,9 @@
   InFlightRequest* request = requests_.Find(action.request);
   if (!request) return;
   const bool deadline_exceeded = Now() >= request->deadline;
+  if (request->AwaitsResponse()) {
+    counters_.Count(deadline_exceeded ? RequestEnd::kDeadlineExceeded : RequestEnd::kUpstreamFailed);
+  }
   launcher_.Respond(*request, deadline_exceeded ? DeadlineExceededResponse() : UpstreamFailedResponse());
   requests_.RemoveIfEnded(action.request, Now());
 }
--- a/sidecar/request_intake.h
+++ b/sidecar/request_intake.h
@@ -12,6 +12,7 @@
 #include "sidecar/http.h"
 #include "sidecar/listener.h"
 #include "sidecar/log.h"
+#include "sidecar/request_counters.h"
 #include "sidecar/request_table.h"
 #include "sidecar/request_validation.h"
 
@@ -21,7 +22,7 @@
  public:
   // All parameters have to outlive the intake.
   RequestIntake(boost::asio::io_context& io, const Settings& settings, BalancerHost& host,
-                RequestTable& requests, AttemptLauncher& launcher, Logger& log);
+                RequestTable& requests, AttemptLauncher& launcher, RequestCounters& counters, Logger& log);
 
   // Handles one request, as specified for OnRequest in request_handler.h. `body`: of a streamed request,
   // otherwise null.
@@ -53,6 +54,7 @@
   BalancerHost& host_;
   RequestTable& requests_;
   AttemptLauncher& launcher_;
+  RequestCounters& counters_;
   Logger& log_;
   TimePoint latest_deadline_ = TimePoint::max();
 };
--- a/sidecar/request_table.h
+++ b/sidecar/request_table.h
@@ -65,6 +65,8 @@
   InFlightRequest* Find(RequestId id);
   const InFlightRequest* Find(RequestId id) const;
 
+  std::size_t size() const { return requests_.size(); }
+
   // Removes the request unless it still waits for its response or for the end of an attempt. If it had an
   // attempt, its id stays reserved.
   void RemoveIfEnded(RequestId id, TimePoint now);
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -89,11 +89,11 @@
           [this] {
             host_.Deliver(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}});
           }),
-      request_ids_(config.request_id_slots, config.request_ids_file),
+      request_ids_(config.request_id_slots, config.request_ids_file, config.seed),
       requests_(request_ids_),
       request_id_renewal_(io),
-      launcher_(io, host_, requests_, upstreams_, log_),
-      intake_(io, settings_, host_, requests_, launcher_, log_),
+      launcher_(io, host_, requests_, upstreams_, counters_, log_),
+      intake_(io, settings_, host_, requests_, launcher_, counters_, log_),
       first_list_timer_(io),
       shutdown_(settings_),
       listener_(
@@ -121,6 +121,7 @@
   operators_.emplace(
       io, *config.admin, config.state_folder, OperatorControl::Targets{host_, upstreams_, listener_, log_},
       [this] { return GetServingState(); },
+      [this] { return counters_.ToText(requests_.size(), *bodies_.budget); },
       [this](const StoredOverride& stored, OverrideAction action) {
         hot_restart_.Notify({stored, action});
       });
--- a/sidecar/sidecar.h
+++ b/sidecar/sidecar.h
@@ -29,6 +29,7 @@
 #include "sidecar/memory_budget.h"
 #include "sidecar/operator_control.h"
 #include "sidecar/readiness.h"
+#include "sidecar/request_counters.h"
 #include "sidecar/request_id_registry.h"
 #include "sidecar/request_intake.h"
 #include "sidecar/request_table.h"
@@ -102,6 +103,7 @@
   DiscoveryClient discovery_;
   std::optional<std::uint64_t>
       known_revision_;  // of the endpoint list in the configuration; sent with the first polled query only
+  RequestCounters counters_;
   RequestIdRegistry request_ids_;
   RequestTable requests_;
   boost::asio::steady_timer request_id_renewal_;
--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -337,6 +337,7 @@
 
   const auto until = Steady::now() + kLoadTime;
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (int i = 0; i < kClients; ++i) {
     clients.emplace_back([&record, port, seed, i, until] { SoakClient(port, seed, i, record).Run(until); });
   }
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -39,6 +39,15 @@
   return request.substr(0, request.size() - 2) + ShortFields(fields) + "\r\n";
 }
 
+// Requests of one client in a row, each with an id of its own.
+std::string InARow(int count, std::size_t client, std::size_t fields) {
+  std::string requests;
+  for (int i = 0; i < count; ++i) {
+    requests += GetWithFields("m" + std::to_string(client) + "-" + std::to_string(i), fields);
+  }
+  return requests;
+}
+
 std::string ResponseText(std::size_t body) {
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body) + "\r\n\r\n" + std::string(body, '.');
 }
@@ -238,13 +247,7 @@
   });
   Connect(kClients);
 
-  for (std::size_t i = 0; i < kClients; ++i) {
-    std::string requests;
-    for (int j = 0; j < kInARow; ++j) {
-      requests += GetWithFields("m" + std::to_string(i) + "-" + std::to_string(j), kFields);
-    }
-    ASSERT_TRUE(clients_[i]->Send(requests));
-  }
+  for (std::size_t i = 0; i < kClients; ++i) ASSERT_TRUE(clients_[i]->Send(InARow(kInARow, i, kFields)));
   EXPECT_TRUE(Eventually([&] { return arrived >= kClients; })) << arrived;
   gate.Open();
 
@@ -290,8 +293,7 @@
   Connect(kSockets / 2 - 20);
 
   for (std::size_t i = 0; i < clients_.size(); ++i) {
-    const std::string request = GetWithFields("m" + std::to_string(i), kFields);
-    clients_[i]->Send(request + request + request);
+    clients_[i]->Send(InARow(3, i, kFields));
   }
   EXPECT_TRUE(Eventually([&] { return arrived >= kClients / 2; })) << arrived;
   gate.Open();
--- a/tests/repeated_request_id_test.cpp
+++ b/tests/repeated_request_id_test.cpp
@@ -75,6 +75,10 @@
   SendAgain(*sidecar);
 
   EXPECT_EQ(Runs(), 1U);
+  const auto metrics = sidecar->CallAdmin("GET", "/metrics");
+  ASSERT_TRUE(metrics);
+  EXPECT_NE(metrics->body().find("lb_requests_total{end=\"repeated_id\"} 16\n"), std::string::npos)
+      << metrics->body();
 }
 
 // Guards against forgetting an id early because other ids have come since.
--- a/tests/sidecar/header_fields_test.cpp
+++ b/tests/sidecar/header_fields_test.cpp
@@ -78,7 +78,8 @@
     const std::size_t charged = budget->charged();
     EXPECT_GE(charged, head.size());
 
-    const RequestHead copy = head;
+    RequestHead copy = head;
+    copy.set("X-C", "3");
     EXPECT_GE(budget->charged(), charged + copy.size());
   }
   EXPECT_EQ(budget->charged(), 0U);
--- a/tests/sidecar/request_id_registry_test.cpp
+++ b/tests/sidecar/request_id_registry_test.cpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <fstream>
 #include <string>
 
@@ -17,6 +18,7 @@
 
 constexpr TimePoint kStart{seconds(1000)};
 constexpr std::size_t kSlots = 65536;
+constexpr std::uint64_t kSeed = 7;
 
 std::string Id(int number) { return "id-" + std::to_string(number); }
 
@@ -27,7 +29,7 @@
 };
 
 TEST(RequestIdRegistry, RejectsAReservedId) {
-  RequestIdRegistry registry(kSlots, "");
+  RequestIdRegistry registry(kSlots, "", kSeed);
 
   EXPECT_EQ(registry.Claim("a", kStart), ClaimResult::kClaimed);
   EXPECT_EQ(registry.Claim("a", kStart + seconds(29)), ClaimResult::kRepeated);
@@ -35,7 +37,7 @@
 }
 
 TEST(RequestIdRegistry, ForgetsAnIdAfterItsRetention) {
-  RequestIdRegistry registry(kSlots, "");
+  RequestIdRegistry registry(kSlots, "", kSeed);
 
   EXPECT_EQ(registry.Claim("a", kStart), ClaimResult::kClaimed);
 
@@ -43,7 +45,7 @@
 }
 
 TEST(RequestIdRegistry, RenewalStartsTheTimeAnew) {
-  RequestIdRegistry registry(kSlots, "");
+  RequestIdRegistry registry(kSlots, "", kSeed);
   EXPECT_EQ(registry.Claim("a", kStart), ClaimResult::kClaimed);
 
   registry.Renew("a", kStart + seconds(20));
@@ -52,7 +54,7 @@
 }
 
 TEST(RequestIdRegistry, ReleasedIdCanBeClaimedAgain) {
-  RequestIdRegistry registry(kSlots, "");
+  RequestIdRegistry registry(kSlots, "", kSeed);
   EXPECT_EQ(registry.Claim("a", kStart), ClaimResult::kClaimed);
 
   registry.Release("a", kStart);
@@ -62,7 +64,7 @@
 
 // Guards against forgetting an id because many others came, as long as there is room for them.
 TEST(RequestIdRegistry, KeepsEachIdWhileHalfOfTheSlotsAreUsed) {
-  RequestIdRegistry registry(kSlots, "");
+  RequestIdRegistry registry(kSlots, "", kSeed);
   constexpr int kIds = static_cast<int>(kSlots) / 2;
 
   for (int i = 0; i < kIds; ++i) ASSERT_EQ(registry.Claim(Id(i), kStart), ClaimResult::kClaimed) << i;
@@ -71,7 +73,7 @@
 }
 
 TEST(RequestIdRegistry, IsFullRatherThanForgettingARecentId) {
-  RequestIdRegistry registry(RequestIdRegistry::kMinSlots, "");
+  RequestIdRegistry registry(RequestIdRegistry::kMinSlots, "", kSeed);
   ASSERT_EQ(registry.Claim("first", kStart), ClaimResult::kClaimed);
 
   bool was_full = false;
@@ -82,7 +84,7 @@
 }
 
 TEST(RequestIdRegistry, OldIdsGiveWayIfItIsFull) {
-  RequestIdRegistry registry(RequestIdRegistry::kMinSlots, "");
+  RequestIdRegistry registry(RequestIdRegistry::kMinSlots, "", kSeed);
   for (int i = 0; i < 1000; ++i) static_cast<void>(registry.Claim(Id(i), kStart));
 
   EXPECT_EQ(registry.Claim("new", kStart + RequestIdRegistry::kMinRetention + seconds(1)),
@@ -90,8 +92,8 @@
 }
 
 TEST_F(RequestIdRegistryFile, IsSharedByTwoProcesses) {
-  RequestIdRegistry previous(kSlots, path_);
-  RequestIdRegistry next(kSlots, path_);
+  RequestIdRegistry previous(kSlots, path_, kSeed);
+  RequestIdRegistry next(kSlots, path_, kSeed);
 
   EXPECT_TRUE(previous.is_shared());
   EXPECT_TRUE(next.is_shared());
@@ -103,10 +105,10 @@
 
 TEST_F(RequestIdRegistryFile, OutlivesItsProcess) {
   {
-    RequestIdRegistry previous(kSlots, path_);
+    RequestIdRegistry previous(kSlots, path_, kSeed);
     EXPECT_EQ(previous.Claim("a", kStart), ClaimResult::kClaimed);
   }
-  RequestIdRegistry next(kSlots / 2, path_);
+  RequestIdRegistry next(kSlots / 2, path_, kSeed);
 
   EXPECT_EQ(next.Claim("a", kStart), ClaimResult::kRepeated);
 }
@@ -114,14 +116,14 @@
 TEST_F(RequestIdRegistryFile, IsReplacedIfItsFormatIsUnknown) {
   std::ofstream(path_) << std::string(100, 'x');
 
-  RequestIdRegistry registry(kSlots, path_);
+  RequestIdRegistry registry(kSlots, path_, kSeed);
 
   EXPECT_TRUE(registry.is_shared());
   EXPECT_EQ(registry.Claim("a", kStart), ClaimResult::kClaimed);
 }
 
 TEST_F(RequestIdRegistryFile, IsNotNeeded) {
-  RequestIdRegistry registry(kSlots, folder_.path() + "/missing/ids");
+  RequestIdRegistry registry(kSlots, folder_.path() + "/missing/ids", kSeed);
 
   EXPECT_FALSE(registry.is_shared());
   EXPECT_EQ(registry.Claim("a", kStart), ClaimResult::kClaimed);
