Read on when the memory budget has room again

While the budget is exhausted, little is read ahead of a request in flight, and the client's disconnect is looked for at intervals instead. Once the budget had room again, neither a read nor the next look was pending, so that a client's close went unnoticed until its response. Found by reading the change again; no test forces it.

--- a/sidecar/client_connection.cpp
+++ b/sidecar/client_connection.cpp
@@ -371,7 +371,8 @@
 }
 
 void ClientConnection::HandleUnreadCheck() {
-  if (!IsReadAheadFull()) return;
+  // The memory budget may have room again.
+  if (!IsReadAheadFull()) return Read();
   const bool is_unprobed =
       state_ == State::kAwaitingResponse && probe_.state() == HalfCloseProbe::State::kNotSent;
   if (is_unprobed && CheckClient() != ClientPresence::kConnected) return SendHalfCloseProbe();
