--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -280,7 +280,7 @@
     return sidecar;
   }
 
-  static void ExpectWithinMemory(const SidecarProcess& sidecar) {
+  static void ExpectWithinMemory([[maybe_unused]] const SidecarProcess& sidecar) {
 #ifndef __SANITIZE_ADDRESS__  // the sanitizer's own memory is not limited
     EXPECT_LE(sidecar.peak_memory_kib(), std::size_t{kMemoryMb} * 1024);
 #endif
