Correct the reason for passing on a head early, and two comments

The comment said that 100 ms are longer than the process may be held up; the deployment allows 0.15 s. What orders the two timers when both are overdue is that they run by their times (by reading; no test forces it). The balancer's guarantee on timers reads as a sentence again, and the registry's seed stands with the other members. No change of behaviour; format and syntax checked, tests not run again.

--- a/balancer/balancer.h
+++ b/balancer/balancer.h
@@ -15,9 +15,8 @@
 // * the first event is the membership that the sidecar has stored, as `MembershipUpdate::Kind::kRestored`,
 //   even if it is empty;
 // * every `SendAttempt` is followed by exactly one `AttemptFinished`;
-// * every `SetTimer` is followed by one `TimerFired` at or after its time, unless the timer is not pending
-// any
-//   more by then (see `IsTimerPending()`).
+// * every `SetTimer` whose timer is still pending at its time (`IsTimerPending()`) is followed by one
+//   `TimerFired` then or later.
 // The balancer guarantees exactly one final answer for each request, by the request's deadline: the response
 // of an attempt (an `AttemptFinished` with `response_delivered`), a `RejectRequest` or a `FailRequest`.
 #pragma once
--- a/sidecar/exchange_deadlines.cpp
+++ b/sidecar/exchange_deadlines.cpp
@@ -11,8 +11,9 @@
 // answer.
 constexpr int kHoldBackDivisor = 10;
 constexpr Duration kMinHoldBack = std::chrono::milliseconds(1);
-// How long before the response's deadline its head is passed on alone. Longer than this process may be held
-// up, so that the head is passed on before the request's own deadline is noticed; a share of a short time.
+// How long before the response's deadline its head is passed on alone, so that this timer expires before that
+// of the request's own deadline: timers that are overdue run in the order of their times. Less of a short
+// time.
 constexpr Duration kForwardHeadBefore = std::chrono::milliseconds(100);
 constexpr int kForwardHeadDivisor = 4;
 // Streamed bodies may be slow, but an upstream that neither sends nor accepts a byte for this long has
--- a/sidecar/request_id_registry.h
+++ b/sidecar/request_id_registry.h
@@ -72,12 +72,11 @@
   // Maps the file or, for a negative `descriptor`, memory of this process alone. Returns false on an error.
   bool Map(int descriptor, std::size_t size);
   void Initialize(std::size_t slots);
-
-  const std::uint64_t seed_;  // of a new table
   Position PositionOf(std::string_view id) const;
   Slot& SlotAt(const Position& position, std::size_t offset) const;
   Slot* Find(const Position& position, TimePoint now, const Slot* except = nullptr) const;
 
+  const std::uint64_t seed_;  // of a new table
   bool is_shared_ = false;
   std::size_t mapped_size_ = 0;  // in bytes
   Header* header_ = nullptr;
