Join the threads of scripted peers when their scripts end

Cause: Peer kept each connection's thread unjoined until its end, and a thread that has ended holds its stack, two memory maps each.

Now a connection's thread is joined, and its socket freed, when the next connection comes.

--- a/tests/scripted_peers.cpp
+++ b/tests/scripted_peers.cpp
@@ -113,37 +113,56 @@
   acceptor_.bind(Loopback(0));
   acceptor_.listen();
   port_ = acceptor_.local_endpoint().port();
-  accepting_ = std::thread([this] {
-    while (!stopping_) {
-      pollfd ready{acceptor_.native_handle(), POLLIN, 0};
-      if (::poll(&ready, 1, 20) <= 0) continue;
-      const auto wire = std::make_shared<Wire>(io_);
-      error_code error;
-      acceptor_.accept(wire->socket, error);
-      if (error) continue;
-      const int number = connections_++;
-      const std::lock_guard lock(mutex_);
-      wires_.push_back(wire);
-      threads_.emplace_back([this, wire, number] {
-        script_(*wire, number);
-        const std::lock_guard closing(mutex_);
-        error_code ignored;
-        wire->socket.close(ignored);
-      });
-    }
-  });
+  accepting_ = std::thread([this] { AcceptConnections(); });
 }
 
 Peer::~Peer() {
   stopping_ = true;
   accepting_.join();
   {
-    const std::lock_guard lock(mutex_);
-    for (const auto& wire : wires_) {
-      if (wire->socket.is_open()) ::shutdown(wire->socket.native_handle(), SHUT_RDWR);
+    const std::lock_guard lock(closing_);
+    for (Connection& connection : open_) {
+      tcp::socket& socket = connection.wire.socket;
+      if (socket.is_open()) ::shutdown(socket.native_handle(), SHUT_RDWR);
     }
   }
-  for (auto& thread : threads_) thread.join();
+  for (Connection& connection : open_) connection.thread.join();
+}
+
+void Peer::AcceptConnections() {
+  while (!stopping_) {
+    pollfd ready{acceptor_.native_handle(), POLLIN, 0};
+    if (::poll(&ready, 1, 20) <= 0) continue;
+    JoinEndedThreads();
+    Connection& connection = open_.emplace_back(io_);
+    error_code error;
+    acceptor_.accept(connection.wire.socket, error);
+    if (error) {
+      open_.pop_back();
+      continue;
+    }
+    const int number = connections_++;
+    connection.thread = std::thread([this, &connection, number] { Run(connection, number); });
+  }
+}
+
+void Peer::Run(Connection& connection, int number) {
+  script_(connection.wire, number);
+  {
+    const std::lock_guard lock(closing_);
+    error_code ignored;
+    connection.wire.socket.close(ignored);
+  }
+  connection.has_ended = true;
+}
+
+// A thread that has ended holds the memory of its stack until it is joined.
+void Peer::JoinEndedThreads() {
+  std::erase_if(open_, [](Connection& connection) {
+    if (!connection.has_ended) return false;
+    connection.thread.join();
+    return true;
+  });
 }
 
 Upstream::Upstream(Handler handler)
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <future>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -66,8 +67,9 @@
 // peer does not read.
 void SetSmallBuffers(tcp::acceptor& acceptor);
 
-// Listens on a free port and runs a script for each connection, each in its own thread. `number` counts the
-// connections from 0. With `small_buffers`, the listening socket is set up by SetSmallBuffers().
+// Listens on a free port and runs a script for each connection, each in its own thread, which is joined once
+// its script has ended. `number` counts the connections from 0. With `small_buffers`, the listening socket is
+// set up by SetSmallBuffers().
 class Peer {
  public:
   using Script = std::function<void(Wire&, int number)>;
@@ -78,15 +80,25 @@
   int connections() const { return connections_; }
 
  private:
+  struct Connection {
+    explicit Connection(boost::asio::io_context& io) : wire(io) {}
+    Wire wire;
+    std::atomic<bool> has_ended{false};
+    std::thread thread;
+  };
+
+  void AcceptConnections();
+  void Run(Connection& connection, int number);
+  void JoinEndedThreads();
+
   boost::asio::io_context io_;
   tcp::acceptor acceptor_;
   Script script_;
   std::uint16_t port_ = 0;
   std::atomic<int> connections_{0};
   std::atomic<bool> stopping_{false};
-  std::mutex mutex_;
-  std::vector<std::shared_ptr<Wire>> wires_;
-  std::vector<std::thread> threads_;
+  std::mutex closing_;          // protects the sockets, which scripts and destructor close
+  std::list<Connection> open_;  // used by the accepting thread alone while it runs
   std::thread accepting_;
 };
 
