Take a connection that is usable soon instead of a new one when descriptors are used up

Cause: a connection carries no request for 20 ms after a response. When all descriptors are used up and none is free again, the pool closed the longest idle connection, which would have been usable within those 20 ms, and opened another, which was not usable again either. So each request above some 6,000 a second (256 descriptors; 1,200 with 64) cost a connect, a close and a local port.

Now such a request waits for the connection that becomes usable next, at most 20 ms, as it did when no socket could be opened. An idle connection of another upstream that is usable is closed for a new one as before.

--- a/sidecar/connection_pool.cpp
+++ b/sidecar/connection_pool.cpp
@@ -56,6 +56,11 @@
   return nullptr;
 }
 
+bool ConnectionPool::IsSaturated() const {
+  if (context_.descriptors.HasCapacity(Descriptors::Side::kUpstream)) return false;
+  return longest_idle_first_.empty() || !longest_idle_first_.front()->IsUsable();
+}
+
 // When the system refuses a socket, closing an idle connection helps only if this process itself is at its
 // limit. One is enough; the others stay open, because requests can still be sent on them.
 ConnectionPool::Opened ConnectionPool::Open(const std::shared_ptr<UpstreamPool>& pool) {
--- a/sidecar/connection_pool.h
+++ b/sidecar/connection_pool.h
@@ -43,8 +43,10 @@
   // `max_idle`, or null. Closes the stale connections that it finds on the way.
   std::shared_ptr<UpstreamConnection> TakeUsable(UpstreamPool& pool, Duration max_idle);
   // Removes and returns a connection that becomes usable within kReuseDelay, or null. A fallback for when no
-  // new connection can be opened.
+  // new connection can be opened, or only in place of one that was in use just now.
   std::shared_ptr<UpstreamConnection> TakeSoonUsable(UpstreamPool& pool);
+  // Whether the descriptors are used up, and no idle connection has been idle for long enough to be usable.
+  bool IsSaturated() const;
 
   struct Opened {
     std::shared_ptr<UpstreamConnection> connection;  // null if none could be opened
--- a/tests/connection_pool_test.cpp
+++ b/tests/connection_pool_test.cpp
@@ -30,6 +30,27 @@
   EXPECT_EQ(upstream.connections(), 1);
 }
 
+// Guards against a new connection for each request, at full speed, while the descriptors are used up.
+TEST(ConnectionPool, ReusesConnectionsWhenTheDescriptorsAreUsedUp) {
+  constexpr int kDescriptors = 64;
+  constexpr int kRequests = 1000;
+  Upstream upstream(Upstream::Echo("u"));
+  SidecarProcess::Options options = With(List({Target("u1", upstream.address())}));
+  options.sockets = kDescriptors;
+  SidecarProcess sidecar(options);
+  ASSERT_TRUE(sidecar.Listening());
+  Client client(sidecar.port());
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) requests += GetText("/page/k", "r" + std::to_string(i));
+  ASSERT_TRUE(client.Send(requests));
+  for (int i = 0; i < kRequests; ++i) {
+    const auto response = client.Read();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->result_int(), 200U);
+  }
+  EXPECT_LE(upstream.connections(), kDescriptors) << "for " << kRequests << " requests";
+}
+
 TEST(ConnectionPool, DropsConnectionClosedByTheUpstream) {
   Gate closed;
   Upstream upstream([&](Wire& wire, const Request&, int number) {
