--- a/tests/lab_real_sidecar_test.cpp
+++ b/tests/lab_real_sidecar_test.cpp
@@ -24,6 +24,14 @@
 using boost::system::error_code;
 using std::chrono::milliseconds;
 
+// Of a sidecar process, in MB.
+#ifdef __SANITIZE_ADDRESS__
+// The address sanitizer retains up to 256 MB of freed memory to detect its use.
+constexpr double kMaxMemoryMb = 64 + 256;
+#else
+constexpr double kMaxMemoryMb = 64;
+#endif
+
 class LabRealSidecar : public ::testing::Test {
  protected:
   void StartSidecar() {
@@ -72,7 +80,7 @@
   ASSERT_TRUE(before && after);
   EXPECT_GT(after->cpu_s, before->cpu_s);
   EXPECT_GT(after->memory_mb, 0.5);
-  EXPECT_LT(after->memory_mb, 64);
+  EXPECT_LT(after->memory_mb, kMaxMemoryMb);
   EXPECT_GT(after->descriptors, before->descriptors);
   EXPECT_EQ(sidecar_->process().Stop(kStopLimit).code, 0);
 }
--- a/tests/streamed_bodies_test.cpp
+++ b/tests/streamed_bodies_test.cpp
@@ -1,8 +1,15 @@
 // Bodies over 64 KiB, which the sidecar streams between its connections. Runs the real program.
+#include <algorithm>
 #include <atomic>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <cstddef>
+#include <list>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -43,6 +50,31 @@
   return Eventually([&] { return client.wire.socket.available() > 0; });
 }
 
+// Reads the response of one client, some bytes at a time.
+class SlowReader {
+ public:
+  explicit SlowReader(Client& client) : socket_(client.wire.socket) { parser_.body_limit(2 * kLargeBody); }
+  bool is_done() const { return parser_.is_done() || error_; }
+  void ReadSome() { boost::beast::http::read_some(socket_, buffer_, parser_, error_); }
+  // To be called once reading is done; nothing if it failed.
+  std::optional<Response> Take() { return error_ ? std::nullopt : std::optional(parser_.release()); }
+
+ private:
+  tcp::socket& socket_;
+  boost::beast::flat_buffer buffer_;
+  boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
+  boost::system::error_code error_;
+};
+
+// Reads all responses in turn, so that no client stops reading for long however slow the machine is.
+void ReadInTurn(std::list<SlowReader>& readers) {
+  while (!std::ranges::all_of(readers, &SlowReader::is_done)) {
+    for (SlowReader& reader : readers) {
+      if (!reader.is_done()) reader.ReadSome();
+    }
+  }
+}
+
 #ifdef __SANITIZE_ADDRESS__
 // In MB. The sanitizer retains freed memory to detect its use.
 constexpr std::size_t kMaxGrowth = 1024;
@@ -78,9 +110,12 @@
         clients.back()->Send(GetText(std::string("/page/") + form, "m" + std::to_string(clients.size()))));
     EXPECT_TRUE(ReceivesFirstBytes(*clients.back()));
   }
-  for (const auto& client : clients) {
-    const auto response = client->Read();
-    ASSERT_TRUE(response);
+  std::list<SlowReader> readers;
+  for (const auto& client : clients) readers.emplace_back(*client);
+  ReadInTurn(readers);
+  for (SlowReader& reader : readers) {
+    const auto response = reader.Take();
+    ASSERT_TRUE(response) << sidecar.log();
     EXPECT_EQ(response->result_int(), 200U);
     EXPECT_TRUE(response->body() == body);
   }
