Replace up to 400 connections a second before a request waits for one that is usable soon

A short burst doesn't deserve that: what costs is a new connection for each request for long, as the system has some 28,000 local ports for an address and keeps that of a closed connection for a minute.

Now up to 400 connections a second that were in use just now are replaced at once, as before; beyond it a request waits. A connection that is usable, of another upstream, is still closed for a new one without a limit.

--- a/sidecar/connection_pool.cpp
+++ b/sidecar/connection_pool.cpp
@@ -23,6 +23,10 @@
 // If a socket can't be opened even after an idle connection was closed, other processes hold the scarce
 // descriptors. No further idle connection is closed for that reason during this time.
 constexpr Duration kFutileEvictionPause = milliseconds(100);
+// How many connections that were in use just now may be closed for new ones in this time. The system has some
+// 28,000 local ports for an upstream's address, and keeps that of a closed connection for a minute.
+constexpr int kMaxReplacements = 400;
+constexpr Duration kReplacementsTime = std::chrono::seconds(1);
 
 Duration MaxIdle(Duration upstream_idle_timeout) {
   const Duration margin = std::max(upstream_idle_timeout / kIdleMarginDivisor, kMinIdleMargin);
@@ -56,16 +60,17 @@
   return nullptr;
 }
 
-bool ConnectionPool::IsSaturated() const {
+bool ConnectionPool::IsReplacingTooOften() const {
   if (context_.descriptors.HasCapacity(Descriptors::Side::kUpstream)) return false;
-  return longest_idle_first_.empty() || !longest_idle_first_.front()->IsUsable();
+  if (longest_idle_first_.empty() || longest_idle_first_.front()->IsUsable()) return false;
+  return replacements_ >= kMaxReplacements && Now() - replacements_since_ < kReplacementsTime;
 }
 
 // When the system refuses a socket, closing an idle connection helps only if this process itself is at its
 // limit. One is enough; the others stay open, because requests can still be sent on them.
 ConnectionPool::Opened ConnectionPool::Open(const std::shared_ptr<UpstreamPool>& pool) {
   while (!context_.descriptors.HasCapacity(Descriptors::Side::kUpstream)) {
-    if (!EvictLongestIdle()) return {};
+    if (!ReplaceLongestIdle()) return {};
   }
   Opened opened = TryOpen(pool);
   if (opened.error != boost::asio::error::no_descriptors) return opened;
@@ -138,6 +143,19 @@
   return true;
 }
 
+bool ConnectionPool::ReplaceLongestIdle() {
+  if (longest_idle_first_.empty()) return false;
+  if (!longest_idle_first_.front()->IsUsable()) {
+    const TimePoint now = Now();
+    if (now - replacements_since_ >= kReplacementsTime) {
+      replacements_since_ = now;
+      replacements_ = 0;
+    }
+    ++replacements_;
+  }
+  return EvictLongestIdle();
+}
+
 void ConnectionPool::ScheduleSweep() {
   sweep_.expires_after(kSweepInterval);
   sweep_.async_wait([this](error_code error) {
--- a/sidecar/connection_pool.h
+++ b/sidecar/connection_pool.h
@@ -43,10 +43,11 @@
   // `max_idle`, or null. Closes the stale connections that it finds on the way.
   std::shared_ptr<UpstreamConnection> TakeUsable(UpstreamPool& pool, Duration max_idle);
   // Removes and returns a connection that becomes usable within kReuseDelay, or null. A fallback for when no
-  // new connection can be opened, or only in place of one that was in use just now.
+  // new connection can or should be opened.
   std::shared_ptr<UpstreamConnection> TakeSoonUsable(UpstreamPool& pool);
-  // Whether the descriptors are used up, and no idle connection has been idle for long enough to be usable.
-  bool IsSaturated() const;
+  // Whether a new connection would replace one that was in use just now, as the descriptors are used up, and
+  // too many were replaced like this lately: each holds a local port for a minute after its close.
+  bool IsReplacingTooOften() const;
 
   struct Opened {
     std::shared_ptr<UpstreamConnection> connection;  // null if none could be opened
@@ -73,12 +74,16 @@
   Opened TryOpen(const std::shared_ptr<UpstreamPool>& pool);
   // Closes the connection that has been idle longest. Returns false if there is none.
   bool EvictLongestIdle();
+  // Does the same in order to open another, and counts it if that connection was in use just now.
+  bool ReplaceLongestIdle();
   void ScheduleSweep();
   void Sweep();
 
   const UpstreamConnection::Context& context_;
   const Duration max_idle_;
   IdleOrder longest_idle_first_;
+  TimePoint replacements_since_;  // the start of the time in which they are counted
+  int replacements_ = 0;
   TimePoint no_eviction_before_;  // set after an eviction that did not end a shortage of descriptors
   boost::asio::steady_timer sweep_;
 };
--- a/sidecar/upstreams.cpp
+++ b/sidecar/upstreams.cpp
@@ -108,7 +108,7 @@
   ConnectionPool::Opened opened;
   if (it != pools_.end() && AcceptsExchanges(*it->second)) {
     opened.connection = connection_pool_.TakeUsable(*it->second, request.max_connection_idle);
-    if (!opened.connection && connection_pool_.IsSaturated()) {
+    if (!opened.connection && connection_pool_.IsReplacingTooOften()) {
       opened.connection = connection_pool_.TakeSoonUsable(*it->second);
     }
     if (!opened.connection) opened = connection_pool_.Open(it->second);
--- a/tests/sidecar_steps.cpp
+++ b/tests/sidecar_steps.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/system/error_code.hpp>
@@ -44,6 +45,25 @@
   return accepted;
 }
 
+int CountAnsweredInARow(Client& client, int requests, const std::string& id_prefix) {
+  constexpr int kPipelined = 128;
+  int answered = 0;
+  for (int sent = 0; sent < requests; sent += kPipelined) {
+    const int end = std::min(sent + kPipelined, requests);
+    std::string text;
+    for (int i = sent; i < end; ++i) text += GetText("/page/k", id_prefix + std::to_string(i));
+    client.Send(text);
+    for (int i = sent; i < end; ++i) {
+      if (client.Read()) ++answered;
+    }
+  }
+  return answered;
+}
+
+bool ReceivesFirstBytes(Client& client) {
+  return Eventually([&] { return client.wire.socket.available() > 0; });
+}
+
 std::optional<Response> ReadFinalResponse(Client& client) {
   auto response = client.Read();
   while (response && response->result_int() == 102U) response = client.Read();
--- a/tests/sidecar_steps.h
+++ b/tests/sidecar_steps.h
@@ -25,6 +25,13 @@
 // at most 65,536.
 std::size_t BytesAcceptedUnread();
 
+// Sends this many GET requests in a row, some at a time before their responses are read. Returns how many
+// were answered; their ids begin with `id_prefix`.
+int CountAnsweredInARow(Client& client, int requests, const std::string& id_prefix);
+
+// Waits until a response to the client begins. Returns false on timeout.
+bool ReceivesFirstBytes(Client& client);
+
 // Reads the next response whose status is not 102. The sidecar sends 102 responses to distinguish a
 // half-close from a close.
 std::optional<Response> ReadFinalResponse(Client& client);
