Share the steps of tests that stood in two files

Waiting for a response's first bytes, many requests in a row, and an upstream that counts requests and answers them later stood twice each. The checks and bounds are the same.

--- a/tests/late_response_body_test.cpp
+++ b/tests/late_response_body_test.cpp
@@ -8,6 +8,7 @@
 
 #include "gtest/gtest.h"
 #include "tests/peers.h"
+#include "tests/sidecar_steps.h"
 
 namespace lb::sidecar::testing {
 namespace {
@@ -51,10 +52,6 @@
                   target == "/keyed/k" ? "Idempotency-Key: k1\r\n" : "");
 }
 
-bool ReceivesFirstBytes(Client& client) {
-  return Eventually([&] { return client.wire.socket.available() > 0; });
-}
-
 class LateResponseBody : public ::testing::TestWithParam<Case> {};
 
 // Guards against ending an attempt at its time limit although its response has begun: the upstream has sent
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -56,6 +56,17 @@
   while (wire.ReadRequest()) wire.Write(ResponseText(1));
 }
 
+// Counts the requests that arrive, and answers them once the gate is open.
+Peer::Script RespondAfter(Gate& gate, std::atomic<std::size_t>& arrived) {
+  return [&](Wire& wire, int) {
+    while (wire.ReadRequest()) {
+      ++arrived;
+      gate.Pass();
+      wire.Write(ResponseText(1));
+    }
+  };
+}
+
 class MemoryLimit : public ::testing::Test {
  protected:
   // Starts the sidecar and its upstreams, each of which runs `script` for each connection.
@@ -174,9 +185,7 @@
   Connect(kClients);
 
   SendRequests(0);
-  for (const auto& client : clients_) {
-    EXPECT_TRUE(Eventually([&] { return client->wire.socket.available() > 0; }));
-  }
+  for (const auto& client : clients_) EXPECT_TRUE(ReceivesFirstBytes(*client));
 
   ExpectAllServed(kDownload);
   ExpectWithinLimit();
@@ -213,13 +222,7 @@
   constexpr std::size_t kFields = 1500;
   std::atomic<std::size_t> arrived{0};
   Gate gate;
-  Start([&](Wire& wire, int) {
-    while (wire.ReadRequest()) {
-      ++arrived;
-      gate.Pass();
-      wire.Write(ResponseText(1));
-    }
-  });
+  Start(RespondAfter(gate, arrived));
   Connect(kClients);
 
   for (std::size_t i = 0; i < kClients; ++i) {
@@ -238,13 +241,7 @@
   constexpr int kInARow = 6;
   std::atomic<std::size_t> arrived{0};
   Gate gate;
-  Start([&](Wire& wire, int) {
-    while (wire.ReadRequest()) {
-      ++arrived;
-      gate.Pass();
-      wire.Write(ResponseText(1));
-    }
-  });
+  Start(RespondAfter(gate, arrived));
   Connect(kClients);
 
   for (std::size_t i = 0; i < kClients; ++i) ASSERT_TRUE(clients_[i]->Send(InARow(kInARow, i, kFields)));
@@ -267,9 +264,7 @@
   Connect(kClients);
 
   SendRequests(0);
-  for (const auto& client : clients_) {
-    EXPECT_TRUE(Eventually([&] { return client->wire.socket.available() > 0; }));
-  }
+  for (const auto& client : clients_) EXPECT_TRUE(ReceivesFirstBytes(*client));
 
   ExpectAllServed(kDownload);
   ExpectWithinLimit();
--- a/tests/repeated_request_id_test.cpp
+++ b/tests/repeated_request_id_test.cpp
@@ -10,6 +10,7 @@
 #include "tests/gated_upstream.h"
 #include "tests/operator_steps.h"
 #include "tests/peers.h"
+#include "tests/sidecar_steps.h"
 
 namespace lb::sidecar::testing {
 namespace {
@@ -84,16 +85,10 @@
 // Guards against forgetting an id early because other ids have come since.
 TEST_F(RepeatedRequestId, IsRejectedAfterManyOtherIds) {
   constexpr int kOtherIds = 10240;
-  constexpr int kPipelined = 128;
   const auto sidecar = StartSidecar();
   SendAndLeave(*sidecar);
   Client other(sidecar->port());
-  for (int sent = 0; sent < kOtherIds; sent += kPipelined) {
-    std::string requests;
-    for (int i = sent; i < sent + kPipelined; ++i) requests += GetText("/page/k", "o" + std::to_string(i));
-    ASSERT_TRUE(other.Send(requests));
-    for (int i = 0; i < kPipelined; ++i) ASSERT_TRUE(other.Read());
-  }
+  ASSERT_EQ(CountAnsweredInARow(other, kOtherIds, "o"), kOtherIds);
 
   SendAgain(*sidecar);
 
--- a/tests/streamed_bodies_test.cpp
+++ b/tests/streamed_bodies_test.cpp
@@ -17,6 +17,7 @@
 
 #include "gtest/gtest.h"
 #include "tests/peers.h"
+#include "tests/sidecar_steps.h"
 
 namespace lb::sidecar::testing {
 namespace {
@@ -46,10 +47,6 @@
 
 std::size_t PeakMemoryMb(const SidecarProcess& sidecar) { return sidecar.peak_memory_kib() / 1024; }
 
-bool ReceivesFirstBytes(Client& client) {
-  return Eventually([&] { return client.wire.socket.available() > 0; });
-}
-
 // Reads the response of one client, some bytes at a time.
 class SlowReader {
  public:
