--- a/review/run-2.sh
+++ b/review/run-2.sh
@@ -7,12 +7,15 @@
 program=$root/build/review-2/$(basename "$folder")
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
-trap 'exit 2' HUP INT TERM
 if [ ! -x "$program" ]; then
   echo "the case could not run: review/build-2.sh has not built it" | tee "$folder/record.txt" >&2
   exit 2
 fi
-timeout -k 2 115 "$program" "$root" "$temporary" "$folder/record.txt" "${TROUBLE:-1}"
+timeout -k 2 115 "$program" "$root" "$temporary" "$folder/record.txt" "${TROUBLE:-1}" &
+child=$!
+# The sidecars end with the program that started them.
+trap 'kill "$child" 2>/dev/null; wait "$child"; exit 2' HUP INT TERM
+wait "$child"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
