Review cases 6 and 10: the settings of harbour-tolls, whose lists are asked for

Change: classes, limits and rules of deploy/sites/harbour-tolls.toml where lists are asked for; claims and report follow.

--- a/review/10/stand-ins.cc
+++ b/review/10/stand-ins.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr double kTold = 6;            // a change counts as told this long after discovery had it, at the latest
-constexpr double kGrace = 0.3 + 0.05;  // StopSendingWithin, and 50 ms for real sockets
+constexpr double kGrace = 0.8 + 0.05;  // StopSendingWithin, and 50 ms for real sockets
 constexpr double kSlow = 2.5;          // seconds for each call
 constexpr int kClients = 4;
 
@@ -34,7 +34,7 @@
     Wire wire;
     while (!over) {
       if ((!wire.IsOpen() && wire.Connect(sidecar.listen()) != 0) ||
-          !wire.Write(GetText("/week-view/k", NewId(), 1000))) {
+          !wire.Write(GetText("/berth.quote/k", NewId(), 900))) {
         wire.Close();
         SleepFor(0.02);
         continue;
--- a/review/common-2.hpp
+++ b/review/common-2.hpp
@@ -349,26 +349,39 @@
 
 // ---- The sidecar ----
 
-// The settings of a small deployment: the classes and limits of schema-nord, without probes.
+// The settings of a small deployment: classes, limits and rules of schema-nord, whose lists are pushed, without probes;
+// or of harbour-tolls (deploy/sites/), whose lists are asked for.
 inline std::string SettingsText(const std::string& mode) {
-  const auto request_class = [](const char* name, const char* effect, int aim_ms, int limit_ms) {
+  const bool pushed = mode == "pushed";
+  const auto request_class = [](const char* name, const char* effect, const char* scope, int aim_ms, int limit_ms,
+                                int window_ms, double worth) {
     return std::string("{\"Name\":\"") + name + "\",\"Effect\":\"" + effect + "\",\"Aim\":" + std::to_string(aim_ms) +
-           "000,\"HardLimit\":" + std::to_string(limit_ms) +
-           "000,\"KeyScope\":\"all\",\"Window\":5000000,\"Worth\":5.0,\"LateWorth\":0.0,\"Stream\":false}";
+           "000,\"HardLimit\":" + std::to_string(limit_ms) + "000,\"KeyScope\":\"" + scope +
+           "\",\"Window\":" + std::to_string(window_ms) + "000,\"Worth\":" + std::to_string(worth) +
+           ",\"LateWorth\":0.0,\"Stream\":false}";
   };
-  return "{\"Azs\":[\"a\"],\"Classes\":[" + request_class("week-view", "read_like", 1000, 3000) + "," +
-         request_class("room-check", "read_like", 500, 1500) + "," +
-         request_class("lesson-move", "idempotency_key", 500, 2500) + "," +
-         request_class("term-publish", "non_idempotent", 800, 4000) +
-         "],\"Clients\":{\"MarksRetry\":true},\"Kinds\":[\"m2\"],\"Layers\":[\"schema-api\"],"
-         "\"Limits\":{\"Cancelling\":true,\"ConnectTimeout\":120000,\"IdleClose\":15000000,\"MaxAttempts\":3,"
-         "\"MaxRetryAfter\":2000000,\"MayProbe\":false,\"Multiplex\":1,\"OpenCap\":20000,\"Peers\":false,"
-         "\"RetryAfter\":true,\"SecondCopies\":true},\"Me\":0,\"MembershipMode\":\"" +
-         mode +
-         "\",\"PeersTotal\":1,\"Report\":{\"Fields\":[],\"How\":\"none\"},\"Rules\":{\"Cold\":7400000,"
-         "\"ColdFrom\":0.31,\"Fall\":1000000,\"FallMultiple\":2.5,\"GraceToAnswer\":20000,\"MustAskIn\":10000000,"
-         "\"StopSendingWithin\":300000},\"Tenants\":[],\"Tick\":5000,\"Tier\":0,\"Weights\":\"none\","
-         "\"WorthBy\":\"request\",\"Zone\":\"a\"}";
+  const std::string classes = pushed ? request_class("week-view", "read_like", "all", 1000, 3000, 5000, 5) + "," +
+                                           request_class("room-check", "read_like", "all", 500, 1500, 5000, 2) + "," +
+                                           request_class("lesson-move", "idempotency_key", "all", 500, 2500, 5000, 5) +
+                                           "," + request_class("term-publish", "non_idempotent", "all", 800, 4000, 5000, 5)
+                                     : request_class("berth.quote", "read_like", "all", 400, 1200, 700, 1) + "," +
+                                           request_class("levy_2", "idempotency_key", "cell", 900, 2500, 700, 4) + "," +
+                                           request_class("seal", "non_idempotent", "all", 1500, 3000, 700, 8);
+  const std::string limits = pushed ? "\"ConnectTimeout\":120000,\"IdleClose\":15000000,\"MaxAttempts\":3,"
+                                      "\"MaxRetryAfter\":2000000,\"SecondCopies\":true"
+                                    : "\"ConnectTimeout\":200000,\"IdleClose\":8000000,\"MaxAttempts\":2,"
+                                      "\"MaxRetryAfter\":1000000,\"SecondCopies\":false";
+  const std::string rules = pushed ? "\"Cold\":7400000,\"ColdFrom\":0.31,\"Fall\":1000000,\"FallMultiple\":2.5,"
+                                     "\"StopSendingWithin\":300000"
+                                   : "\"Cold\":9000000,\"ColdFrom\":0.2,\"Fall\":1500000,\"FallMultiple\":3,"
+                                     "\"StopSendingWithin\":800000";
+  return "{\"Azs\":[\"a\"],\"Classes\":[" + classes + "],\"Clients\":{\"MarksRetry\":" + (pushed ? "true" : "false") +
+         "},\"Kinds\":[\"m2\"],\"Layers\":[\"api\"],\"Limits\":{\"Cancelling\":true,\"MayProbe\":false,\"Multiplex\":1,"
+         "\"OpenCap\":20000,\"Peers\":false,\"RetryAfter\":true," +
+         limits + "},\"Me\":0,\"MembershipMode\":\"" + mode +
+         "\",\"PeersTotal\":1,\"Report\":{\"Fields\":[],\"How\":\"none\"},\"Rules\":{\"GraceToAnswer\":20000,"
+         "\"MustAskIn\":10000000," +
+         rules + "},\"Tenants\":[],\"Tick\":5000,\"Tier\":0,\"Weights\":\"none\",\"WorthBy\":\"request\",\"Zone\":\"a\"}";
 }
 
 // The arguments of a case.
