Review cases 6 to 10: run-2.sh is told by the case whether there is trouble

Cause: each run.sh reads TROUBLE now. Change: run-2.sh takes it as its second argument and reads no variable.

--- a/review/run-2.sh
+++ b/review/run-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Runs one of the cases 6 to 10: run-2.sh FOLDER, called by the case's run.sh. Exits with 1 if the rule was broken, 0 if
-# it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# Runs one of the cases 6 to 10: run-2.sh FOLDER TROUBLE, called by the case's run.sh. Exits with 1 if the rule was
+# broken, 0 if it held, 2 if the case could not run. TROUBLE 0 leaves the disruption out.
 cd "$1" || exit 2
 folder=$PWD
 root=$(cd ../.. && pwd)
@@ -11,7 +11,7 @@
   echo "the case could not run: review/build-2.sh has not built it" | tee "$folder/record.txt" >&2
   exit 2
 fi
-timeout -k 2 115 "$program" "$root" "$temporary" "$folder/record.txt" "${TROUBLE:-1}" &
+timeout -k 2 115 "$program" "$root" "$temporary" "$folder/record.txt" "$2" &
 child=$!
 # The sidecars end with the program that started them.
 trap 'kill "$child" 2>/dev/null; wait "$child"; exit 2' HUP INT TERM
