--- a/sidecar/attempt_launcher.cpp
+++ b/sidecar/attempt_launcher.cpp
@@ -228,6 +228,7 @@
       .With("attempt", static_cast<std::size_t>(decided.attempt))
       .With("streaming", is_streaming ? "yes" : "no")
       .With("progress", ToString(result.progress))
+      .With("body_bytes", result.body_bytes)
       .With("elapsed_us", result.elapsed.count())
       .With("connection_use", result.connection_use)
       .With("connection_open_us", result.connection_open_for.count())
--- a/sidecar/exchange.h
+++ b/sidecar/exchange.h
@@ -41,6 +41,7 @@
   // Empty unless a response was read completely. The body is empty if it was streamed.
   HttpResponse response;
   ExchangeProgress progress = ExchangeProgress::kNotStarted;
+  std::uint64_t body_bytes = 0;  // received of the response's body
   // The error of the connection, or of opening one; no error if neither failed.
   boost::system::error_code connection_error{};
   // Number of exchanges on the connection, including this one; 0 if there was no connection.
--- a/sidecar/response_body.cpp
+++ b/sidecar/response_body.cpp
@@ -13,6 +13,7 @@
 }
 
 void ResponseBody::TakePart(std::size_t size) {
+  received_ += size;
   if (stream_) {
     stream_->Write(part_.data(), size);
   } else {
@@ -44,7 +45,7 @@
 void ResponseBody::Clear() {
   part_ = {};
   collected_.Clear();
-  discarded_ = 0;
+  received_ = 0;
 }
 
 }  // namespace lb::sidecar
--- a/sidecar/response_body.h
+++ b/sidecar/response_body.h
@@ -32,13 +32,13 @@
   // Adds the first `size` bytes of that buffer to the body.
   void TakePart(std::size_t size);
   // Drops the first `size` bytes of that buffer: they are counted, but not kept.
-  void DiscardPart(std::size_t size) { discarded_ += size; }
+  void DiscardPart(std::size_t size) { received_ += size; }
 
   std::size_t collected() const { return collected_.size(); }
-  // Some bytes have been collected or discarded.
-  bool HasBegun() const { return collected_.size() + discarded_ > 0; }
-  // More than kMaxBufferedBody has been collected or discarded.
-  bool IsOverLimit() const { return collected_.size() + discarded_ > kMaxBufferedBody; }
+  // Bytes collected, streamed or discarded so far.
+  std::uint64_t received() const { return received_; }
+  // More than kMaxBufferedBody has been received of a body that is not streamed.
+  bool IsOverLimit() const { return !is_streaming() && received_ > kMaxBufferedBody; }
   // Whether the body should be streamed, and is not yet.
   bool IsTooLargeToCollect() const { return IsTooLargeToHold(collected_); }
   HeldBytes TakeCollected() { return std::move(collected_); }
@@ -62,8 +62,8 @@
  private:
   std::string part_;
   HeldBytes collected_;
-  std::size_t discarded_ = 0;  // in bytes
-  Body stream_;                // null before StartStreaming() and after Finish() or Abort()
+  std::uint64_t received_ = 0;  // in bytes
+  Body stream_;                 // null before StartStreaming() and after Finish() or Abort()
 };
 
 }  // namespace lb::sidecar
--- a/sidecar/upstream_connection.cpp
+++ b/sidecar/upstream_connection.cpp
@@ -381,6 +381,7 @@
   result.outcome = outcome;
   result.elapsed = Now() - exchange_.deadlines.started();
   result.progress = exchange_.progress;
+  result.body_bytes = body_.received();
   result.connection_error = exchange_.error;
   result.connection_use = history_.exchanges;
   result.connection_open_for = exchange_.deadlines.started() - history_.opened;
@@ -394,7 +395,7 @@
       return writer_.is_complete() ? ExchangeProgress::kAwaitingResponse : ExchangeProgress::kSendingRequest;
     case State::kCollectingBody:
     case State::kHoldingBackBody:
-      return body_.HasBegun() ? ExchangeProgress::kReceivingBody : ExchangeProgress::kAwaitingBody;
+      return body_.received() > 0 ? ExchangeProgress::kReceivingBody : ExchangeProgress::kAwaitingBody;
     case State::kStreamingBody:
     case State::kStreamPaused:
       return ExchangeProgress::kReceivingBody;
