--- a/sidecar/attempt_launcher.cpp
+++ b/sidecar/attempt_launcher.cpp
@@ -152,6 +152,7 @@
   if (action.begin_within != Duration::max()) exchange.begin_within = action.begin_within - elapsed;
   exchange.client_is_waiting = [this, id] { return CheckClient(id) == Listener::ClientPresence::kConnected; };
   exchange.time_left = [this, id](TimePoint now) { return TimeLeft(id, now); };
+  exchange.last_response_by = last_response_by_;
   exchange.body_stall_timeout = request.timeout;
   exchange.on_response_started = [this, id, attempt = decided.attempt](HttpResponse head, Body body) {
     HandleResponseStarted(id, attempt, std::move(head), std::move(body));
--- a/sidecar/attempt_launcher.h
+++ b/sidecar/attempt_launcher.h
@@ -41,6 +41,9 @@
   // half-open probe continue after the response, to test its upstream; but if its connection is not
   // established by now, the request must not be forwarded any more.
   void AbandonUnsent(const InFlightRequest& request);
+  // From now on, responses whose requests' deadlines are over end by `last_response_by`, as the process
+  // stops.
+  void LimitResponses(TimePoint last_response_by) { last_response_by_ = last_response_by; }
   // Ends the attempts of the request that have not been written whole, as timed out before their last byte.
   void FailIncomplete(RequestId id);
 
@@ -73,6 +76,7 @@
   RequestCounters& counters_;
   Logger& log_;
   std::uint64_t last_exchange_ = 0;
+  TimePoint last_response_by_ = TimePoint::max();
 };
 
 }  // namespace lb::sidecar
--- a/sidecar/exchange.h
+++ b/sidecar/exchange.h
@@ -75,6 +75,8 @@
   // Returns how long the client will still wait, from the given time on; null if no client waits. This limits
   // both X-Timeout-Ms and the time that the exchange waits for the upstream.
   std::function<Duration(TimePoint)> time_left;
+  // When the process ends its last response; TimePoint::max() unless it is stopping.
+  TimePoint last_response_by = TimePoint::max();
   // If the upstream accepts no byte of a streamed body for this long, the exchange fails.
   Duration body_stall_timeout = Duration::max();
   // Null if the caller can't use a streamed response; a body over kMaxBufferedBody is a failure then.
--- a/sidecar/exchange_deadlines.cpp
+++ b/sidecar/exchange_deadlines.cpp
@@ -16,9 +16,8 @@
 // time.
 constexpr Duration kForwardHeadBefore = std::chrono::milliseconds(100);
 constexpr int kForwardHeadDivisor = 4;
-// Streamed bodies may be slow, but an upstream that neither sends nor accepts a byte for this long has
-// failed.
-constexpr Duration kStreamStallTimeout = std::chrono::seconds(10);
+// A streamed request may be slow, but an upstream that accepts no byte of it for this long has failed.
+constexpr Duration kRequestPieceTimeout = std::chrono::seconds(10);
 
 // Limits `wait` to the time that the client will still wait.
 Duration BoundedByClient(const ExchangeRequest& request, Duration wait, TimePoint now) {
@@ -53,9 +52,7 @@
 }
 
 TimePoint ExchangeDeadlines::NextPiece(const ExchangeRequest& request, TimePoint now) {
-  return now + std::min(kStreamStallTimeout, request.body_stall_timeout);
+  return now + std::min(kRequestPieceTimeout, request.body_stall_timeout);
 }
 
-TimePoint ExchangeDeadlines::NextBytes(TimePoint now) { return now + kStreamStallTimeout; }
-
 }  // namespace lb::sidecar
--- a/sidecar/exchange_deadlines.h
+++ b/sidecar/exchange_deadlines.h
@@ -1,4 +1,5 @@
-// The deadlines of the steps of an exchange. Reads no clock: the caller passes the current time.
+// The deadlines of the steps of an exchange, but for those of a streamed response (stream_deadline.h). Reads
+// no clock: the caller passes the current time.
 #pragma once
 
 #include "sidecar/clock.h"
@@ -32,8 +33,6 @@
   TimePoint ForwardHeadAt() const;
   // Deadline for the upstream to accept the next piece of a streamed request.
   static TimePoint NextPiece(const ExchangeRequest& request, TimePoint now);
-  // Deadline of the next bytes of a streamed response.
-  static TimePoint NextBytes(TimePoint now);
 
  private:
   TimePoint started_;
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -182,6 +182,7 @@
 void Sidecar::ShutDown(std::function<void()> done) {
   const TimePoint last_response_by = shutdown_.Begin(Now());
   intake_.LimitDeadlines(last_response_by);
+  launcher_.LimitResponses(last_response_by);
   listener_.ShutDown(hot_restart_.next_serves(), last_response_by, [this, done = std::move(done)] {
     if (!operators_) return done();
     operators_->store().Flush(kStoreTimeout, done);
--- a/sidecar/upstream_connection.cpp
+++ b/sidecar/upstream_connection.cpp
@@ -205,10 +205,19 @@
                                      std::move(on_capacity));
   error_code ignored;
   socket_.set_option(boost::asio::socket_base::receive_buffer_size(kStreamReceiveBuffer), ignored);
-  ArmTimer(ExchangeDeadlines::NextBytes(Now()));
+  exchange_.stream_deadline = MakeStreamDeadline(Now());
+  ArmTimer(exchange_.stream_deadline.at());
   exchange_.request.on_response_started(framing_.TakeHeadForStream(), std::move(stream));
 }
 
+StreamDeadline UpstreamConnection::MakeStreamDeadline(TimePoint now) const {
+  const ExchangeRequest& request = exchange_.request;
+  StreamDeadline::Request limits;
+  if (request.time_left) limits.deadline = now + request.time_left(now);
+  limits.last_response_by = request.last_response_by;
+  return {limits, framing_.content_length(), body_.received(), now};
+}
+
 // The pending read of the body continues. A response that has begun is not given up because its body is late.
 void UpstreamConnection::OnHoldBackTimer() {
   const TimePoint now = Now();
@@ -225,7 +234,10 @@
     state_ = State::kStreamPaused;
     return DisarmTimer();
   }
-  if (body_.is_streaming()) ArmTimer(ExchangeDeadlines::NextBytes(Now()));
+  if (body_.is_streaming()) {
+    exchange_.stream_deadline.OnRead(body_.received(), Now());
+    ArmTimer(exchange_.stream_deadline.at());
+  }
   framing_.SetBodyBuffer(body_.PreparePart(), ResponseBody::PartSize());
   // Until the read completes, these may run: completions of writes, the timer (which may start streaming),
   // the stream's reader abandoning the body, Cancel(), AbandonUnsent(), Close().
@@ -259,6 +271,7 @@
   if (body_.IsAbandonedByReader()) return Fail(Failure::kCancelled);
   if (state_ != State::kStreamPaused) return;
   state_ = State::kStreamingBody;
+  exchange_.stream_deadline.OnCapacity(Now());
   ReadBody();
 }
 
--- a/sidecar/upstream_connection.h
+++ b/sidecar/upstream_connection.h
@@ -24,6 +24,7 @@
 #include "sidecar/request_writer.h"
 #include "sidecar/response_body.h"
 #include "sidecar/response_framing.h"
+#include "sidecar/stream_deadline.h"
 
 namespace lb::sidecar {
 
@@ -163,7 +164,8 @@
     // completed.
     bool may_be_sent = true;
     ExchangeDeadlines deadlines;
-    Duration connection_idle{};  // idle time of the connection before this exchange
+    StreamDeadline stream_deadline;  // from StartStreaming() on
+    Duration connection_idle{};      // idle time of the connection before this exchange
     ExchangeProgress progress = ExchangeProgress::kConnecting;  // when it failed
     boost::system::error_code error;
   };
@@ -187,6 +189,7 @@
   void ReadHead();
   void OnHead(boost::system::error_code error);
   void StartStreaming();
+  StreamDeadline MakeStreamDeadline(TimePoint now) const;
   void OnHoldBackTimer();
   void ReadBody();
   void OnBodyPart(boost::system::error_code error);
--- a/tests/late_response_body_test.cpp
+++ b/tests/late_response_body_test.cpp
@@ -1,9 +1,12 @@
-// Responses without a length whose body begins only after the time in which the sidecar waits for an attempt.
-// Runs the real program.
+// Responses without a length whose body begins only after the time in which the sidecar waits for an attempt,
+// arrives slowly or never ends. Runs the real program.
+#include <chrono>
+#include <csignal>
 #include <cstddef>
 #include <optional>
 #include <ostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "gtest/gtest.h"
@@ -13,6 +16,8 @@
 namespace lb::sidecar::testing {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr std::size_t kBody = 300000;   // in bytes; more than the sidecar holds in memory
 constexpr int kOverObjectiveMs = 5000;  // a client that waits longer than the latency objective
 constexpr int kUnderObjectiveMs = 300;  // and one that does not
@@ -141,5 +146,115 @@
   EXPECT_FALSE(client.Read());
 }
 
+// Guards against ending a long response that arrives slowly: at its request's time, and half a second after
+// it, it is no longer than one that never ends.
+TEST(LateResponseBodies, ThatArriveSlowlyAreForwardedWhole) {
+  constexpr std::size_t kPiece = 4000;  // in bytes
+  constexpr milliseconds kPause{50};
+  constexpr std::size_t kSlowBody = 100000;
+  for (const char* framing : {kChunked, kClose}) {
+    Upstream upstream([&](Wire& wire, const Request&, int) {
+      const std::string text = Framed(framing, std::string(kSlowBody, 'b'));
+      wire.Write("HTTP/1.1 200 OK\r\n" + std::string(framing) + "\r\n");
+      for (std::size_t i = 0; i < text.size(); i += kPiece) {
+        wire.Write(text.substr(i, kPiece));
+        std::this_thread::sleep_for(kPause);
+      }
+      wire.socket.close();
+    });
+    SidecarProcess sidecar(With(List({Target("u1", upstream.address())})));
+    ASSERT_TRUE(sidecar.Listening());
+    Client client(sidecar.port());
+
+    ASSERT_TRUE(client.Send(GetText("/page/k", "slow", kUnderObjectiveMs)));
+
+    const auto response = client.Read();
+    ASSERT_TRUE(response) << sidecar.log();
+    EXPECT_GE(response->body().size(), kSlowBody);
+  }
+}
+
+constexpr int kEndlessTimeoutMs = 1500;
+// A final answer is due half a second after the request's time; the rest leaves room for a busy machine.
+constexpr milliseconds kEndlessLatest{kEndlessTimeoutMs + 500 + 2000};
+
+struct EndlessCase {
+  Case request;
+  std::string start;         // what the upstream sends behind the head
+  std::string trickle = "";  // and sends again and again
+  bool pipelined = false;    // the client sends another request behind it
+  bool stops = false;        // the sidecar is told to stop once the response has begun
+};
+
+void PrintTo(const EndlessCase& tested, std::ostream* out) { *out << tested.request.name; }
+
+class EndlessResponse : public ::testing::TestWithParam<EndlessCase> {};
+
+void SendEndlessResponse(Wire& wire, const EndlessCase& tested) {
+  wire.Write("HTTP/1.1 200 OK\r\n" + std::string(tested.request.framing) + "\r\n" + tested.start);
+  if (tested.trickle.empty()) {
+    wire.ReadUntilClosed();
+    return;
+  }
+  while (wire.Write(tested.trickle)) std::this_thread::sleep_for(milliseconds(20));
+}
+
+// Guards against a request that never gets its final answer: its response began in time, is short as far as
+// it has come, and never ends (review/7).
+TEST_P(EndlessResponse, ResetsItsClientSoonAfterItsRequestsTime) {
+  const EndlessCase& tested = GetParam();
+  Upstream upstream([&](Wire& wire, const Request&, int) { SendEndlessResponse(wire, tested); });
+  SidecarProcess sidecar(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(sidecar.Listening());
+  Client client(sidecar.port());
+
+  ASSERT_TRUE(client.Send(RequestText(tested.request)));
+  const auto sent = std::chrono::steady_clock::now();
+  if (tested.pipelined) {
+    ASSERT_TRUE(client.Send(GetText("/page/k", "behind", kEndlessTimeoutMs)));
+  }
+  ASSERT_TRUE(ReceivesFirstBytes(client));
+  if (tested.stops) sidecar.Signal(SIGTERM);
+
+  EXPECT_FALSE(client.Read()) << "the response never ends, so it can't be whole";
+  EXPECT_LT(std::chrono::steady_clock::now() - sent, kEndlessLatest) << sidecar.log();
+  if (tested.stops) {
+    EXPECT_EQ(sidecar.Wait(), 0);
+  }
+}
+
+Case EndlessRequest(const char* name, const char* framing, const char* target = "/submit/k") {
+  return {name, framing, target, kEndlessTimeoutMs, 10};
+}
+
+std::vector<EndlessCase> EndlessCases() {
+  const std::string thousand(1000, 'x');
+  const std::string chunk = "3e8\r\n" + thousand + "\r\n";
+  const std::string byte_chunk = "1\r\nx\r\n";
+  Case upload = EndlessRequest("LargeUpload", kChunked);
+  upload.upload = 300000;
+  Case http10 = EndlessRequest("Http10Client", kChunked, "/page/k");
+  http10.version = "HTTP/1.0";
+  return {{EndlessRequest("ChunkedHeadOnly", kChunked), ""},
+          {EndlessRequest("CloseHeadOnly", kClose), ""},
+          {EndlessRequest("ChunkedBytes", kChunked), chunk},
+          {EndlessRequest("CloseBytes", kClose), thousand},
+          {EndlessRequest("CloseManyBytes", kClose), std::string(60000, 'x')},
+          {EndlessRequest("OpenChunk", kChunked), "4e20\r\n" + thousand},
+          {EndlessRequest("OpenTrailer", kChunked), chunk + "0\r\nX-Trailer: t"},
+          {EndlessRequest("NoLastLineEnd", kChunked), chunk + "0\r\n"},
+          {EndlessRequest("ChunkedTrickle", kChunked), chunk, byte_chunk},
+          {EndlessRequest("CloseTrickle", kClose), thousand, "x"},
+          {EndlessRequest("Idempotent", kChunked, "/page/k"), chunk},
+          {EndlessRequest("Keyed", kChunked, "/keyed/k"), chunk},
+          {upload, chunk},
+          {http10, chunk},
+          {EndlessRequest("Pipelined", kChunked, "/page/k"), chunk, "", true},
+          {EndlessRequest("PlannedStop", kChunked), chunk, "", false, true}};
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, EndlessResponse, ::testing::ValuesIn(EndlessCases()),
+                         [](const auto& param_info) { return std::string(param_info.param.request.name); });
+
 }  // namespace
 }  // namespace lb::sidecar::testing
