Reject an upload that has not run also where another timer is due at its time

What callers saw: 504 instead of 503 with Retry-After for a request whose last byte was never forwarded, so that a client may not repeat it.

Cause: at the request's time RequestIntake tells the module the deadline and ends the attempt. UpstreamConnection reported that end only after the pending write had completed, one turn of the event loop later. Where a timer of the module (housekeeping, each 250 ms) was due in the same turn, it also fired the deadline's, and the module saw an attempt that may have run.

Change: only a pending write with the request's last byte is waited for. Any other cannot complete the request, so its attempt is reported at once.

--- a/sidecar/request_writer.cpp
+++ b/sidecar/request_writer.cpp
@@ -33,7 +33,9 @@
   serializer_.emplace(*message_);
 }
 
-std::function<void(error_code, std::size_t)> RequestWriter::Completion(OnWritten on_written, LastByte last) {
+std::function<void(error_code, std::size_t)> RequestWriter::BeginWrite(OnWritten on_written, LastByte last) {
+  is_writing_ = true;
+  pending_end_ = last;
   return [this, last, on_written = std::move(on_written)](error_code error, std::size_t) {
     is_writing_ = false;
     is_complete_ = body_ ? last == LastByte::kIncluded && !error : serializer_->is_done();
@@ -49,8 +51,7 @@
 }
 
 void RequestWriter::WriteHead(OnWritten on_written) {
-  is_writing_ = true;
-  auto on_completed = Completion(std::move(on_written), body_ ? LastByte::kFollows : LastByte::kIncluded);
+  auto on_completed = BeginWrite(std::move(on_written), body_ ? LastByte::kFollows : LastByte::kIncluded);
   if (body_) {
     http::async_write_header(stream_, *serializer_, std::move(on_completed));
   } else {
@@ -72,8 +73,7 @@
 }
 
 void RequestWriter::WritePiece(OnWritten on_written) {
-  is_writing_ = true;
-  auto on_completed = Completion(std::move(on_written), piece_end_);
+  auto on_completed = BeginWrite(std::move(on_written), piece_end_);
   const bool is_chunked = !body_->length();
   const auto bytes = boost::asio::buffer(piece_.data(), piece_.size());
   if (!is_chunked) {
--- a/sidecar/request_writer.h
+++ b/sidecar/request_writer.h
@@ -48,6 +48,9 @@
   void WritePiece(OnWritten on_written);
 
   bool is_writing() const { return is_writing_; }
+  // A write with the last byte of the request is pending, so that only its completion shows whether the
+  // request is complete.
+  bool IsWritingLastByte() const { return is_writing_ && pending_end_ == LastByte::kIncluded; }
   // True when the system has taken the last byte of the request and that write has completed.
   bool is_complete() const { return !is_writing_ && is_complete_; }
 
@@ -61,8 +64,9 @@
   // Whether a write includes the last byte of the request.
   enum class LastByte { kFollows, kIncluded };
 
-  // Returns the completion handler of a write: updates the state of this object, then calls `on_written`.
-  std::function<void(boost::system::error_code, std::size_t)> Completion(OnWritten on_written, LastByte last);
+  // Records the start of a write, and returns its completion handler: updates the state of this object, then
+  // calls `on_written`.
+  std::function<void(boost::system::error_code, std::size_t)> BeginWrite(OnWritten on_written, LastByte last);
   void FreeHead();
 
   WriteStream stream_;
@@ -71,7 +75,8 @@
   Body body_;
   HeldBytes piece_;
   LastByte piece_end_ = LastByte::kFollows;
-  bool is_writing_ = false;  // from the start of a write to its completion
+  LastByte pending_end_ = LastByte::kFollows;  // of the write in progress
+  bool is_writing_ = false;                    // from the start of a write to its completion
   bool is_complete_ = false;
 };
 
--- a/sidecar/upstream_connection.cpp
+++ b/sidecar/upstream_connection.cpp
@@ -345,15 +345,16 @@
 }
 
 // Also closes the connection, because late bytes must never be read as the response to another request. If a
-// write is pending, waits for its completion before finishing: bytes that the system has taken count as
-// written even if the completion has not run yet, and an unsafe request may be sent again only if its last
-// byte was not written.
+// write with the last byte of the request is pending, waits for its completion before finishing: bytes that
+// the system has taken count as written even if the completion has not run yet, and an unsafe request may be
+// sent again only if its last byte was not written. Any other pending write cannot complete the request: the
+// exchange finishes at once, before another event can take the request for one that may have run.
 void UpstreamConnection::Fail(Failure failure, error_code error) {
   if (!HasExchange()) return;
   exchange_.error = error;
   exchange_.progress = Progress();
   Close();
-  if (!writer_.is_writing()) return FinishFailed(failure);
+  if (!writer_.IsWritingLastByte()) return FinishFailed(failure);
   state_ = State::kAwaitingWrite;
   failure_ = failure;
 }
--- a/sidecar/upstream_connection.h
+++ b/sidecar/upstream_connection.h
@@ -67,8 +67,8 @@
 //   pass on     write the part to the stream; while the stream has no capacity, to kStreamPaused without a
 //               pending read
 //   end         end the exchange without a response: close the connection and finish in kClosed. If a write
-//               has not completed, first to kAwaitingWrite: only its completion shows whether the system took
-//               the bytes
+//               with the request's last byte has not completed, first to kAwaitingWrite: only its completion
+//               shows whether the system took the bytes
 //   finish      call the exchange's callback; to kClosed
 //   drop        ignore the event
 // clang-format on
--- a/tests/streamed_bodies_test.cpp
+++ b/tests/streamed_bodies_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstddef>
 #include <list>
 #include <memory>
@@ -261,15 +262,14 @@
   EXPECT_EQ(begun, 1);
 }
 
-// Reads at most 500 kB a second until the connection ends.
-void ReadSlowly(Wire& wire) {
+// Reads at most 2,500 bytes in each `pause` until the connection ends: 500 kB a second.
+void ReadSlowly(Wire& wire, milliseconds pause = milliseconds(5)) {
   constexpr std::size_t kBytesAtOnce = 2500;
-  constexpr milliseconds kPause{5};
   std::vector<char> bytes(kBytesAtOnce);
   boost::system::error_code error;
   while (!error) {
     wire.socket.read_some(boost::asio::buffer(bytes), error);
-    std::this_thread::sleep_for(kPause);
+    std::this_thread::sleep_for(pause);
   }
 }
 
@@ -302,6 +302,38 @@
   }
 }
 
+// Guards against 504 for requests that have not run, as a piece of their bodies is still being written at
+// their time. The process is held up across it, so that timers of the decision module are due just then, too.
+TEST(StreamedRequest, IsRejectedIfTheProcessIsHeldUpAtItsTime) {
+  constexpr int kClients = 6;
+  constexpr milliseconds kTimeout{1500};
+  constexpr milliseconds kSpacing{50};   // between requests, so that some are due before other timers
+  constexpr std::size_t kBody = 600000;  // more than the upstream reads in that time, with all buffers
+  Peer upstream([](Wire& wire, int) { ReadSlowly(wire, milliseconds(25)); }, true);
+  SidecarProcess sidecar(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(sidecar.Listening());
+  std::list<Client> clients;
+  const auto began = std::chrono::steady_clock::now();
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(sidecar.port());
+    ASSERT_TRUE(clients.back().Send(
+        PostText("/submit/k", "h" + std::to_string(i), TextOfSize(kBody), kTimeout.count())));
+    std::this_thread::sleep_for(kSpacing);
+  }
+
+  std::this_thread::sleep_until(began + kTimeout - kSpacing);
+  sidecar.Pause();
+  std::this_thread::sleep_for((kClients + 2) * kSpacing);
+  sidecar.Signal(SIGCONT);
+
+  for (Client& client : clients) {
+    const auto response = client.Read();
+    ASSERT_TRUE(response) << sidecar.log();
+    EXPECT_EQ(response->result_int(), 503U) << "nothing ran, as the last byte was not forwarded";
+    EXPECT_EQ(response->count("Retry-After"), 1U);
+  }
+}
+
 TEST(StreamedRequest, EndsItsAttemptWhenTheClientDisconnects) {
   Gate ended;
   Peer upstream([&](Wire& wire, int) {
