--- a/tests/sidecar_process.h
+++ b/tests/sidecar_process.h
@@ -42,7 +42,8 @@
   };
   explicit SidecarProcess(const Options& options);
   ~SidecarProcess();
-  // Waits until the process listens for clients. Returns false on timeout.
+  // Waits until the process listens for clients. On timeout, writes what the process does to the test's
+  // output and returns false.
   bool Listening();
   std::uint16_t port() const { return port_; }
   // Calls the admin interface and returns the response.
@@ -75,6 +76,8 @@
   std::uint16_t port_ = 0;
   json config_;
   std::string config_path_;
+  // What the kernel says of the process, and its log: tells a hang before or after exec() from a slow start.
+  std::string Describe() const;
   // The port that follows `prefix` in the log; 0 if the log does not contain it yet.
   std::uint16_t LoggedPort(const std::string& prefix) const;
   mutable std::mutex mutex_;
