--- a/lab/measure/metrics.cpp
+++ b/lab/measure/metrics.cpp
@@ -70,6 +70,8 @@
       {"real_list_bytes", "bytes", &Metrics::real_list_bytes},
       {"discovery_cpu", "cores", &Metrics::discovery_cpu},
       {"control_bytes_per_s", "bytes/s", &Metrics::control_bytes_per_s},
+      {"discovery_calls_per_s", "calls/s", &Metrics::discovery_calls_per_s},
+      {"whole_lists", "count", &Metrics::whole_lists},
       {"change_cpu_ms", "ms", &Metrics::change_cpu_ms},
       {"change_bytes", "bytes", &Metrics::change_bytes},
       {"load_spread", "ratio", &Metrics::load_spread},
--- a/lab/measure/metrics.h
+++ b/lab/measure/metrics.h
@@ -69,9 +69,11 @@
   // Averages over the real sidecars: processor time from the start to the end of the measured time, peak
   // resident memory, peak number of descriptors, and bytes received from discovery in the measured time.
   double real_cpu_s = 0, real_peak_memory_mb = 0, real_descriptors = 0, real_list_bytes = 0;
-  double control_bytes_per_s = 0;  // per sidecar
-  double change_cpu_ms = 0;        // processor time per change and hollow sidecar
-  double change_bytes = 0;         // bytes per change and sidecar
+  double control_bytes_per_s = 0;    // per sidecar
+  double discovery_calls_per_s = 0;  // per sidecar
+  double whole_lists = 0;            // sent by discovery in the measured time, per sidecar
+  double change_cpu_ms = 0;          // processor time per change and hollow sidecar
+  double change_bytes = 0;           // bytes per change and sidecar
   double load_spread = 0;
   // Violations of the protocol's rules by real sidecars, and the events they refer to, over the whole run.
   double dropped_requests = 0;    // requests read but never answered
--- a/lab/model/fault_schedule.cpp
+++ b/lab/model/fault_schedule.cpp
@@ -46,6 +46,10 @@
       return target_.SetDiscoveryDown(true);
     case FaultKind::kDiscoverySlow:
       return target_.SetDiscoverySlow(true);
+    case FaultKind::kDiscoveryLate:
+      return target_.SetDiscoveryDelay(fault.delay);
+    case FaultKind::kDiscoveryBusy:
+      return target_.SetDiscoveryWork(fault.delay);
     case FaultKind::kNoticesLate:
       return target_.SetNoticeDelay(fault.factor);
     case FaultKind::kNoticesSilent:
@@ -88,6 +92,10 @@
       return target_.SetDiscoveryDown(false);
     case FaultKind::kDiscoverySlow:
       return target_.SetDiscoverySlow(false);
+    case FaultKind::kDiscoveryLate:
+      return target_.SetDiscoveryDelay(Duration::zero());
+    case FaultKind::kDiscoveryBusy:
+      return target_.SetDiscoveryWork(Duration::zero());
     case FaultKind::kNoticesLate:
       return target_.SetNoticeDelay(1);
     case FaultKind::kNoticesLost:
--- a/lab/model/fault_schedule.h
+++ b/lab/model/fault_schedule.h
@@ -72,6 +72,10 @@
 
   // Discovery answers late and splits its responses into pieces.
   virtual void SetDiscoverySlow(bool) {}
+  // Each answer of discovery begins so much later; zero ends the fault.
+  virtual void SetDiscoveryDelay(Duration) {}
+  // Discovery works so long on each call of any sidecar, on one at a time; zero ends the fault.
+  virtual void SetDiscoveryWork(Duration) {}
   // `count` clients of each real sidecar stop in the middle of a request, spread over the duration.
   virtual void StallClients(std::size_t, Duration) {}
   // Sends each real sidecar `count` new configurations, spread over the duration.
--- a/lab/real/discovery_server.cpp
+++ b/lab/real/discovery_server.cpp
@@ -108,6 +108,14 @@
   boost::asio::post(io_, [this, slow] { is_slow_ = slow; });
 }
 
+void DiscoveryServer::SetAnswerDelay(Duration delay) {
+  boost::asio::post(io_, [this, delay] { queue_.SetDelay(delay); });
+}
+
+void DiscoveryServer::SetCallWork(Duration work) {
+  boost::asio::post(io_, [this, work] { queue_.SetWork(work); });
+}
+
 lb::Endpoint DiscoveryServer::Move(std::size_t sidecar) {
   return OnServerThread([this, sidecar] { return MoveNow(*agents_.at(sidecar)); });
 }
@@ -180,6 +188,8 @@
   return calls_while_slow_ % kRejectEveryNth == 0;
 }
 
+Duration DiscoveryServer::EnterQueue() { return queue_.Enter(sidecar::Now()); }
+
 void DiscoveryServer::HandleCall(DiscoveryAgent& agent) {
   agent.is_known_delayed = false;
   DeliverRevision(agent, agent.lost_revision);
@@ -241,7 +251,7 @@
   for (const auto& session : open) {
     if (session->caller_revision() < agent.revision) session->AnswerWatch();
   }
-  if (options_.on_request || is_slow_) return ReportKnownAfter(agent, kMaxKnownDelay);
+  if (options_.on_request || is_slow_ || queue_.IsSlow()) return ReportKnownAfter(agent, kMaxKnownDelay);
   if (!agent.is_known_delayed) ReportKnown(agent, agent.revision);
 }
 
--- a/lab/real/discovery_server.h
+++ b/lab/real/discovery_server.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "lab/model/membership.h"
+#include "lab/real/call_queue.h"
 #include "lab/real/discovery_session.h"
 #include "lab/spec/experiment.h"
 #include "settings/config.h"
@@ -79,6 +80,8 @@
   // While slow, answers are delayed and sent in pieces, some connections are closed and some calls answered
   // 503.
   void SetSlow(bool slow);
+  void SetAnswerDelay(Duration delay);  // each answer begins so much later; zero: no fault
+  void SetCallWork(Duration work);      // works so long on each call, one at a time; zero: no fault
   // Moves the sidecar's agent to another address, which is returned. Calls over connections to the old
   // address are not answered any more.
   lb::Endpoint Move(std::size_t sidecar);
@@ -105,6 +108,7 @@
   bool IsDown() const override { return is_down_; }
   bool IsSlow() const override { return is_slow_; }
   bool ShouldRejectCall() override;
+  Duration EnterQueue() override;
   void HandleCall(DiscoveryAgent& agent) override;
 
   void Listen(DiscoveryAgent& agent);
@@ -143,6 +147,7 @@
   double lost_share_ = 0;
   bool is_down_ = false;
   bool is_slow_ = false;
+  CallQueue queue_;
   std::uint64_t connections_while_slow_ = 0;
   std::uint64_t calls_while_slow_ = 0;
   std::thread thread_;
--- a/lab/real/discovery_session.cpp
+++ b/lab/real/discovery_session.cpp
@@ -120,6 +120,15 @@
 }
 
 void DiscoverySession::AnswerList(std::optional<std::uint64_t> caller_revision) {
+  const Duration wait = host_.EnterQueue();
+  if (wait == Duration::zero()) return WriteList(caller_revision);
+  timer_.expires_after(wait);
+  timer_.async_wait([self = shared_from_this(), caller_revision](error_code error) {
+    if (!error) self->WriteList(caller_revision);
+  });
+}
+
+void DiscoverySession::WriteList(std::optional<std::uint64_t> caller_revision) {
   answer_ = host_.AnswerFor(agent_, caller_revision);
   if (answer_->is_whole) {
     ++agent_.counters.whole_lists;
--- a/lab/real/discovery_session.h
+++ b/lab/real/discovery_session.h
@@ -74,6 +74,8 @@
   virtual bool IsSlow() const = 0;
   // Counts a call while discovery is slow, and returns whether to reject it.
   virtual bool ShouldRejectCall() = 0;
+  // Called when a list is to be answered. Returns how long the answer has to wait.
+  virtual Duration EnterQueue() = 0;
   // Called for each valid call, before it is answered: makes changes whose notice was lost available.
   virtual void HandleCall(DiscoveryAgent& agent) = 0;
   // The agent's answer to a caller with this revision of the list; std::nullopt: with none.
@@ -107,7 +109,9 @@
   // Closes the connection once it is readable: a sidecar that waits for an answer sends nothing but its end.
   void WatchForClose();
   void EndWatch();
+  // Answers with the list as it is once the answer's turn has come.
   void AnswerList(std::optional<std::uint64_t> caller_revision);
+  void WriteList(std::optional<std::uint64_t> caller_revision);
   void AnswerError(const char* status, bool keep_alive);
   // `body` must stay valid until it has been written.
   void Write(const char* status, const std::string& body, bool keep_alive);
--- a/lab/real/real_fault_target.h
+++ b/lab/real/real_fault_target.h
@@ -39,6 +39,8 @@
   void SetRegionsCut(bool cut) override { hollow_.network().SetRegionsCut(cut); }
   void SetDiscoveryDown(bool down) override { discovery_.SetDown(down); }
   void SetDiscoverySlow(bool slow) override { discovery_.SetSlow(slow); }
+  void SetDiscoveryDelay(Duration delay) override { discovery_.SetAnswerDelay(delay); }
+  void SetDiscoveryWork(Duration work) override { discovery_.SetCallWork(work); }
   void SetNoticeDelay(double factor) override { discovery_.SetNoticeDelayFactor(factor); }
   void SetLostNotices(double share) override { discovery_.SetLostNoticeShare(share); }
   void SilenceWatches() override { discovery_.SilenceWatches(); }
--- a/lab/real/real_measurements.cpp
+++ b/lab/real/real_measurements.cpp
@@ -155,8 +155,14 @@
   metrics.hollow_memory_mb = Share(hollow_memory_mb_, hollow_sidecars_);
   metrics.discovery_cpu =
       Share(ToSeconds(discovery_at_end_.processor_time - discovery_at_start_.processor_time), length_s);
-  const auto bytes = discovery_at_end_.Total().bytes() - discovery_at_start_.Total().bytes();
-  metrics.control_bytes_per_s = Share(static_cast<double>(bytes), length_s * metrics.sidecars);
+  const AgentCounters at_start = discovery_at_start_.Total();
+  const AgentCounters at_end = discovery_at_end_.Total();
+  const auto bytes = static_cast<double>(at_end.bytes() - at_start.bytes());
+  metrics.control_bytes_per_s = Share(bytes, length_s * metrics.sidecars);
+  const auto calls = static_cast<double>(at_end.calls - at_start.calls);
+  metrics.discovery_calls_per_s = Share(calls, length_s * metrics.sidecars);
+  const auto whole_lists = static_cast<double>(at_end.whole_lists - at_start.whole_lists);
+  metrics.whole_lists = Share(whole_lists, metrics.sidecars);
   const double idle_ratio = Share(change_s_, idle_s_);
   const double change_cpu_s = std::max(0.0, change_cost_.cpu_s - idle_cost_.cpu_s * idle_ratio);
   const double change_bytes =
--- a/lab/spec/deployment.cpp
+++ b/lab/spec/deployment.cpp
@@ -223,6 +223,8 @@
     case FaultKind::kClientsStalled:
     case FaultKind::kNewConfigurations:
     case FaultKind::kDiscoverySlow:
+    case FaultKind::kDiscoveryLate:
+    case FaultKind::kDiscoveryBusy:
     case FaultKind::kBurst:
       break;  // no targets to draw: these faults affect the whole fleet
   }
@@ -243,6 +245,7 @@
     event.count = spec.count;
     event.zone = spec.zone;
     event.step = spec.step;
+    event.delay = spec.delay;
     const std::string purpose =
         "fault " + std::string(FaultName(spec.kind)) + " at " + std::to_string(spec.at.count());
     Generator generator(DeriveSeed(experiment.seed, purpose, same_kind_and_time[purpose]++));
--- a/lab/spec/deployment.h
+++ b/lab/spec/deployment.h
@@ -42,6 +42,7 @@
   int count = 1;
   std::string zone;
   Duration step{};
+  Duration delay{};
   // Targets, in the order drawn; a kChange or kRestart fault is applied to the upstreams in this order.
   std::vector<std::size_t> upstreams;
   std::vector<std::size_t> sidecars;
--- a/lab/spec/experiment.h
+++ b/lab/spec/experiment.h
@@ -153,6 +153,8 @@
   kNewConfigurations,
   // Discovery answers late, splits its responses into pieces, and rejects some connections and calls.
   kDiscoverySlow,
+  kDiscoveryLate,  // each answer of discovery begins `delay` later
+  kDiscoveryBusy,  // discovery works for `delay` on each call of any sidecar, one at a time
   kClockStepped,  // the wall clocks of `share` of the real sidecars' machines are stepped by `step`
   kBurst,         // the load is multiplied by `factor`
 };
@@ -169,6 +171,7 @@
   int count = 1;
   std::string zone;  // empty: drawn at random
   Duration step{};   // of a wall clock; negative steps it back
+  Duration delay{};  // of discovery's answers
 };
 
 enum class Comparison { kAtLeast, kAtMost };
--- a/lab/spec/fault_reader.cpp
+++ b/lab/spec/fault_reader.cpp
@@ -12,6 +12,7 @@
 using std::chrono::seconds;
 
 constexpr double kMaxClockStepS = 86'400;  // one day
+constexpr Bounds kDiscoveryDelayS{0.0001, 60};
 
 enum class KeyUse { kRefused, kOptional, kRequired };
 
@@ -25,6 +26,7 @@
   KeyUse count = KeyUse::kRefused;
   KeyUse zone = KeyUse::kRefused;
   KeyUse step = KeyUse::kRefused;
+  KeyUse delay = KeyUse::kRefused;
   double min_factor = 1;
 };
 
@@ -54,6 +56,8 @@
        .lasts = kOptional,
        .count = kOptional},
       {.kind = FaultKind::kDiscoverySlow, .name = "discovery_slow", .lasts = kRequired},
+      {.kind = FaultKind::kDiscoveryLate, .name = "discovery_late", .lasts = kRequired, .delay = kRequired},
+      {.kind = FaultKind::kDiscoveryBusy, .name = "discovery_busy", .lasts = kRequired, .delay = kRequired},
       {.kind = FaultKind::kClockStepped, .name = "clock_stepped", .share = kRequired, .step = kRequired},
       {.kind = FaultKind::kBurst,
        .name = "burst",
@@ -77,7 +81,8 @@
 
 void CheckFaultKeys(const TableReader& table, const FaultForm& form) {
   const NamedValue<KeyUse> uses[] = {{"lasts_s", form.lasts}, {"share", form.share}, {"factor", form.factor},
-                                     {"count", form.count},   {"zone", form.zone},   {"step_s", form.step}};
+                                     {"count", form.count},   {"zone", form.zone},   {"step_s", form.step},
+                                     {"delay_s", form.delay}};
   for (const auto& [key, use] : uses) {
     if (use == KeyUse::kRequired) table.Require({key});
     if (use == KeyUse::kRefused && table.Has(key)) {
@@ -99,6 +104,11 @@
          kind == FaultKind::kClockStepped;
 }
 
+bool NeedsRealClock(FaultKind kind) {
+  return kind == FaultKind::kDiscoverySlow || kind == FaultKind::kDiscoveryLate ||
+         kind == FaultKind::kDiscoveryBusy;
+}
+
 FaultSpec ReadFault(TableReader& table, const Experiment& experiment) {
   FaultSpec spec;
   table.Require({"kind", "at_s"});
@@ -112,6 +122,7 @@
   table.ReadCount("count", spec.count, 1, 100'000);
   table.ReadText("zone", spec.zone);
   table.ReadTime("step_s", spec.step, seconds(1), {-kMaxClockStepS, kMaxClockStepS});
+  table.ReadTime("delay_s", spec.delay, seconds(1), kDiscoveryDelayS);
   table.Finish();
   if (spec.at >= experiment.length) table.Fail("at_s", "the fault begins after the run's end (length_s)");
   if (spec.at + spec.lasts > experiment.length) {
@@ -121,8 +132,8 @@
   if (NeedsRealSidecars(spec.kind) && experiment.sidecars.real == 0) {
     table.Fail("kind", "a fault " + std::string(form.name) + " needs real sidecars");
   }
-  if (spec.kind == FaultKind::kDiscoverySlow && experiment.clock == ClockKind::kVirtual) {
-    table.Fail("kind", "a fault discovery_slow needs clock = \"real\"");
+  if (NeedsRealClock(spec.kind) && experiment.clock == ClockKind::kVirtual) {
+    table.Fail("kind", "a fault " + std::string(form.name) + " needs clock = \"real\"");
   }
   if (spec.kind == FaultKind::kRegionCut && experiment.regions < 2) {
     table.Fail("kind", "a fault region_cut needs two regions");
--- a/lab/spec/schedule.cpp
+++ b/lab/spec/schedule.cpp
@@ -50,6 +50,7 @@
   if (event.share > 0) out << " share " << event.share;
   if (event.factor != 1) out << " factor " << event.factor;
   if (event.step != Duration::zero()) out << " step " << ToSeconds(event.step) << " s";
+  if (event.delay != Duration::zero()) out << " delay " << ToSeconds(event.delay) << " s";
   if (event.kind == FaultKind::kChange) out << " count " << event.count;
 }
 
--- a/tests/lab_discovery_faults_test.cpp
+++ b/tests/lab_discovery_faults_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -116,5 +117,28 @@
   EXPECT_EQ(whole, 6);
 }
 
+TEST_F(DiscoveryFaults, LateDiscoveryAnswersWithTheListOfThatTime) {
+  server_->SetAnswerDelay(milliseconds(500));
+  const TimePoint start = sidecar::Now();
+  auto answer = std::async([this] { return Call(server_->endpoint(0), "/discovery/hosts"); });
+  entry_.weight += 1;
+  const std::uint64_t revision = server_->Change(entry_);
+  const std::string text = answer.get();
+  EXPECT_GE(sidecar::Now() - start, milliseconds(500));
+  EXPECT_NE(text.find("\"rev\":" + std::to_string(revision)), std::string::npos) << text;
+}
+
+TEST_F(DiscoveryFaults, BusyDiscoveryAnswersItsCallsInTurn) {
+  constexpr auto kWork = milliseconds(200);
+  server_->SetCallWork(kWork);
+  const TimePoint start = sidecar::Now();
+  std::vector<std::future<std::string>> answers;
+  for (int i = 0; i < 3; ++i) {
+    answers.push_back(std::async([this] { return Call(server_->endpoint(0), "/discovery/hosts"); }));
+  }
+  for (auto& answer : answers) EXPECT_NE(answer.get().find("200 OK"), std::string::npos);
+  EXPECT_GE(sidecar::Now() - start, 3 * kWork);
+}
+
 }  // namespace
 }  // namespace lb::lab
--- a/tests/lab_experiment_test.cpp
+++ b/tests/lab_experiment_test.cpp
@@ -348,8 +348,10 @@
   const std::string head =
       "name = \"f\"\nlength_s = 5\nsizes = [2]\n[[class]]\nname = \"a\"\n"
       "mean_work_ms = 1\naim_ms = 10\ndeadline_ms = 10\n[[fault]]\nat_s = 1\nkind = ";
-  for (const char* fault : {"\"clients_stalled\"", "\"new_configurations\"",
-                            "\"clock_stepped\"\nshare = 1\nstep_s = 1", "\"discovery_slow\"\nlasts_s = 1"}) {
+  for (const char* fault :
+       {"\"clients_stalled\"", "\"new_configurations\"", "\"clock_stepped\"\nshare = 1\nstep_s = 1",
+        "\"discovery_slow\"\nlasts_s = 1", "\"discovery_late\"\nlasts_s = 1\ndelay_s = 1",
+        "\"discovery_busy\"\nlasts_s = 1\ndelay_s = 1"}) {
     EXPECT_THROW(ParseExperiment(head + fault, "f.toml"), ExperimentError) << fault;
   }
   const Experiment experiment = ParseExperiment(head + "\"sidecars_stopped\"\nshare = 1", "f.toml");
