--- a/sidecar/log_events.h
+++ b/sidecar/log_events.h
@@ -28,6 +28,7 @@
 
 // Discovery.
 inline constexpr std::string_view kDiscoveryFailed = "discovery_failed";
+inline constexpr std::string_view kDiscoverySlow = "discovery_slow";
 inline constexpr std::string_view kDiscoveryRecovered = "discovery_recovered";
 inline constexpr std::string_view kWallClockDistrusted = "wall_clock_distrusted";
 
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -111,8 +111,8 @@
   RenewRequestIds();
   EndpointList known = ParseKnownList(config.known, unix_clock_);
   // Without a restored list there is nothing to apply changes to, so that discovery is asked for the whole
-  // list: no revision is sent with the query.
-  if (!known.locations.empty()) known_revision_ = known.revision;
+  // list.
+  if (!known.locations.empty()) discovery_.SetKnownRevision(known.revision);
   ApplyEndpointList(std::move(known));
   // Where membership is polled, the balancer starts the queries (see Subscribe()).
   if (!settings_.polled_membership) discovery_.Ask();
@@ -211,11 +211,7 @@
   upstreams_.CloseIdleConnections(action.upstream.value);
 }
 
-void Sidecar::Subscribe(const lb::Subscribe& /*action*/) {
-  const auto revision = known_revision_;
-  known_revision_.reset();
-  discovery_.Ask(revision);
-}
+void Sidecar::Subscribe(const lb::Subscribe& /*action*/) { discovery_.Ask(); }
 
 void Sidecar::WriteLogLine(const lb::LogLine& action) { log_.Line(action.text); }
 
--- a/sidecar/sidecar.h
+++ b/sidecar/sidecar.h
@@ -101,8 +101,6 @@
   Upstreams upstreams_;
   MembershipFollower membership_;
   DiscoveryClient discovery_;
-  std::optional<std::uint64_t>
-      known_revision_;  // of the endpoint list in the configuration; sent with the first polled query only
   RequestCounters counters_;
   RequestIdRegistry request_ids_;
   RequestTable requests_;
--- a/tests/discovery_client_test.cpp
+++ b/tests/discovery_client_test.cpp
@@ -143,14 +143,14 @@
     for (const int failures : {1, 4, 1000}) {
       const Duration pause = BackoffAfter(failures, silence, 1);
       EXPECT_LE(kAgentWatch + silence + pause + silence, kNotificationLimit) << "a watch receives no data";
-      EXPECT_LE(kAgentWatch + kAgentResponseTimeout + pause + silence, kNotificationLimit)
+      EXPECT_LE(kAgentWatch + kAgentResponseReserve + pause + silence, kNotificationLimit)
           << "a watch receives an incomplete response";
       EXPECT_LE(silence + pause + silence, kNotificationLimit) << "a call fails";
     }
   }
-  EXPECT_LE(kServiceWatch + kServiceWatchTimeout + kServiceRetryDelay + kServiceCallTimeout,
+  EXPECT_LE(kServiceWatch + kServiceWatchSilence + kServiceRetryDelay + kServiceResponseReserve,
             kNotificationLimit);
-  EXPECT_LE(kServiceCallTimeout + lb::kMaxPollRetryDelay + kServiceCallTimeout, kNotificationLimit);
+  EXPECT_LE(kServiceCallSilence + lb::kMaxPollRetryDelay + kServiceSlowResponse, kNotificationLimit);
 }
 
 }  // namespace
--- a/tests/polled_discovery_test.cpp
+++ b/tests/polled_discovery_test.cpp
@@ -45,16 +45,24 @@
   EXPECT_EQ(std::string(requests[3].target()).find("/discovery/hosts?index=7&"), 0u);
 }
 
-// A watch that receives no response is abandoned soon after its wait time, and the whole list is requested
-// without the balancer's poll pause, which is meant for an overloaded service.
+bool IsForWholeList(const Request& request) { return request.target().find("index=") == std::string::npos; }
+
+// A call that is answered at once although nothing has changed.
+bool IsForChangesNow(const Request& request) { return request.target().ends_with("&wait=1"); }
+
+std::string ListOf(const Upstream& upstream, int revision) {
+  return json{{"rev", revision}, {"all", true}, {"targets", List({Target("u1", upstream.address())})}}.dump();
+}
+
+// Soon after the wait time of a watch without a response, the changes are requested beside it and without the
+// balancer's poll pause, which is meant for an overloaded service.
 TEST(PolledDiscovery, ReopensASilentWatchAtOnce) {
   Upstream hung([](Wire& wire, const Request&, int) { wire.ReadUntilClosed(); });
-  std::atomic<int> watches{0}, lists{0};
-  const std::string list =
-      json{{"rev", 7}, {"all", true}, {"targets", List({Target("u1", hung.address())})}}.dump();
+  std::atomic<int> watches{0}, answered{0};
+  const std::string list = ListOf(hung, 7);
   Upstream service([&](Wire& wire, const Request& request, int) {
-    if (std::string(request.target()).find("index=") == std::string::npos) {
-      ++lists;
+    if (IsForWholeList(request) || IsForChangesNow(request)) {
+      ++answered;
       wire.Answer(200, list);
     } else {
       ++watches;
@@ -72,7 +80,28 @@
   // balancer's poll pause after the wait, the second list would be requested later.
   Client client(sidecar.port());
   ASSERT_TRUE(client.Post("/submit/k", "a1", "x", 6000));
-  EXPECT_EQ(lists, 2);
+  EXPECT_EQ(answered, 2);
+}
+
+// A service that has been silent for seconds may have lost the revisions that it told.
+TEST(PolledDiscovery, RequestsTheWholeListOfAServiceThatStaysSilent) {
+  Upstream a(Upstream::Echo("a"));
+  Upstream b(Upstream::Echo("b"));
+  std::atomic<int> lists{0};
+  Upstream service([&](Wire& wire, const Request& request, int) {
+    if (!IsForWholeList(request)) return static_cast<void>(wire.ReadUntilClosed());
+    wire.Answer(200, ++lists == 1 ? ListOf(a, 7) : ListOf(b, 3));
+  });
+  json settings = Settings();
+  settings["MembershipMode"] = "on_request";
+  SidecarProcess::Options options = With(nullptr, settings);
+  options.discovery = service.address();
+  SidecarProcess sidecar(options);
+  ASSERT_TRUE(sidecar.Listening());
+
+  const bool is_heard = BecomesServedBy(sidecar, "b /page/k");
+
+  EXPECT_TRUE(is_heard);
 }
 
 // After each failed call, whatever the kind of failure and the number of previous failures, the next call
