--- a/sidecar/discovery_timing.cpp
+++ b/sidecar/discovery_timing.cpp
@@ -9,9 +9,6 @@
 constexpr int kMarginDivisor = 4;
 // After slow responses, a response that is quicker takes away half of the difference.
 constexpr int kDecayDivisor = 2;
-// The shortest interval between two calls to a slow discovery, the second beside the first: close to
-// kServiceWatch, so that the service gets hardly more calls than while it is quick.
-constexpr Duration kSlowCallInterval = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -47,12 +44,12 @@
   return std::max(kShortestWatch, std::min(left, longest));
 }
 
-// What is left of the notification limit after the response to the next call bounds it, but for
-// kSlowCallInterval: below that, more calls would make a crowded service slower.
+// A service that is slow because it is crowded answers each call in time as long as every sidecar makes one
+// call at a time. So the expected response is waited for, also where a lost call could then not be replaced
+// within the notification limit.
 Duration DiscoveryTiming::WatchSilence() const {
   const Duration expected = response_time_ + response_time_ / kMarginDivisor;
-  const Duration left = kNotificationLimit - limits_.retry_delay - response_time_;
-  return std::max(limits_.watch_silence, std::min(expected, std::max(left, kSlowCallInterval)));
+  return std::max(limits_.watch_silence, std::min(expected, kNotificationLimit - limits_.retry_delay));
 }
 
 Duration DiscoveryTiming::FirstCallSilence() const {
