--- a/lab/real/real_fleet.cpp
+++ b/lab/real/real_fleet.cpp
@@ -17,10 +17,6 @@
 // For a call on another, possibly busy thread.
 constexpr Duration kThreadTimeout = std::chrono::seconds(10);
 
-std::string ToText(const lb::Endpoint& endpoint) {
-  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 }  // namespace
 
 TemporaryFolder::TemporaryFolder()
@@ -58,7 +54,7 @@
     if (!instance.real) continue;
     SidecarConfig config;
     config.name = instance.name;
-    config.discovery = ToText(discovery.endpoint(instance.index));
+    config.discovery = lb::ToText(discovery.endpoint(instance.index));
     config.seed = instance.seed;
     config.memory_mb = experiment_.sidecars.memory_mb;
     config.sockets = static_cast<std::size_t>(experiment_.sidecars.sockets);
@@ -133,7 +129,7 @@
 }
 
 void RealFleet::ChangeDiscoveryAddress(std::size_t sidecar, const lb::Endpoint& discovery) {
-  if (Member* const member = Find(sidecar)) member->process.ChangeDiscoveryAddress(ToText(discovery));
+  if (Member* const member = Find(sidecar)) member->process.ChangeDiscoveryAddress(lb::ToText(discovery));
 }
 
 void RealFleet::WriteMalformedConfiguration(std::size_t sidecar) {
--- a/settings/config.cpp
+++ b/settings/config.cpp
@@ -159,6 +159,10 @@
   return Endpoint(address, port);
 }
 
+std::string ToText(const Endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 Config LoadConfig(const std::function<const char*(const char*)>& get_variable) {
   Config config;
   config.name = Variable(get_variable, "LB_NAME");
--- a/settings/config.h
+++ b/settings/config.h
@@ -51,6 +51,9 @@
 // Parses an IP address and port such as `10.0.0.4:9000`. Returns nothing if the text is invalid.
 std::optional<Endpoint> ParseEndpoint(const std::string& text);
 
+// The inverse of ParseEndpoint().
+std::string ToText(const Endpoint& endpoint);
+
 // Loads the configuration from the environment and from the file that LB_CONFIG names. `get_variable` works
 // like std::getenv: it returns null for a variable that is not set. Throws ConfigError.
 Config LoadConfig(const std::function<const char*(const char*)>& get_variable);
--- a/sidecar/discovery_client.cpp
+++ b/sidecar/discovery_client.cpp
@@ -220,7 +220,8 @@
 }
 
 bool DiscoveryClient::HasRestarted(const PendingCall& call, const EndpointList& list) const {
-  if (call.IsForWholeList() || !revision_) return false;
+  if (call.IsForWholeList()) return false;
+  if (list.revision < *call.base) return true;
   return list.revision < *revision_ && call.started_at >= revision_since_;
 }
 
--- a/sidecar/endpoint_list.cpp
+++ b/sidecar/endpoint_list.cpp
@@ -34,13 +34,29 @@
   return number.get<std::int64_t>();
 }
 
+constexpr const char* kServingName = "active";
+constexpr const char* kDrainingName = "leaving";
+constexpr const char* kGoneName = "left";
+
 UpstreamState ParseState(const std::string& word, const Position& position) {
-  if (word == "active") return UpstreamState::kServing;
-  if (word == "leaving") return UpstreamState::kDraining;
-  if (word == "left") return UpstreamState::kGone;
+  if (word == kServingName) return UpstreamState::kServing;
+  if (word == kDrainingName) return UpstreamState::kDraining;
+  if (word == kGoneName) return UpstreamState::kGone;
   Fail(Kind::kBadValue, position, "unknown state " + word);
 }
 
+const char* NameOf(UpstreamState state) {
+  switch (state) {
+    case UpstreamState::kServing:
+      return kServingName;
+    case UpstreamState::kDraining:
+      return kDrainingName;
+    case UpstreamState::kGone:
+      return kGoneName;
+  }
+  return kGoneName;
+}
+
 struct Entry {
   UpstreamInfo info;
   Location location;
@@ -105,6 +121,17 @@
 
 }  // namespace
 
+json ToEntry(const UpstreamInfo& info, const Location& location) {
+  return {{"uid", info.id.value},
+          {"endpoint", ToText(location.endpoint)},
+          {"az", info.zone},
+          {"model", info.kind},
+          {"pod_group", info.cell},
+          {"state", NameOf(location.state)},
+          {"capacity_hint", info.weight},
+          {"boot_ms", location.boot_ms}};
+}
+
 EndpointList ParseEndpointList(const json& body, const UnixClock& clock) {
   Position position;
   try {
--- a/sidecar/endpoint_list.h
+++ b/sidecar/endpoint_list.h
@@ -50,6 +50,9 @@
   std::optional<std::size_t> entry_;
 };
 
+// The entry of one upstream in discovery's form, as ParseEndpointList() reads it.
+nlohmann::json ToEntry(const UpstreamInfo& info, const Location& location);
+
 // Both throw MembershipError. `clock` converts the start times of upstreams, which are Unix times in the
 // list, to TimePoints.
 EndpointList ParseEndpointList(const nlohmann::json& body, const UnixClock& clock);
--- a/sidecar/hot_restart.cpp
+++ b/sidecar/hot_restart.cpp
@@ -54,14 +54,16 @@
 
 }  // namespace
 
-HotRestart::HotRestart(boost::asio::io_context& io, std::string folder, Logger& log, Handlers handlers)
+HotRestart::HotRestart(boost::asio::io_context& io, std::string folder, const UnixClock& clock, Logger& log,
+                       Handlers handlers)
     : io_(io),
       folder_(std::move(folder)),
       log_(log),
       handlers_(std::move(handlers)),
       acceptor_(io),
       listen_retry_(io),
-      send_retry_(io) {}
+      send_retry_(io),
+      list_receiver_(clock) {}
 
 HotRestart::~HotRestart() {
   if (previous_) previous_->Close();
@@ -100,6 +102,7 @@
   NeighbourProcess::Handlers handlers;
   handlers.on_serves = [] {};
   handlers.on_line = [this](const std::string& line) {
+    HandleListLine(line);
     HandleOverrideLine(line, [this](const std::string& text) {
       if (next_) next_->Send(text);
     });
@@ -128,6 +131,16 @@
   next_->Watch(std::move(handlers));
 }
 
+void HotRestart::HandleListLine(const std::string& line) {
+  std::optional<EndpointList> list;
+  try {
+    list = list_receiver_.HandleLine(line);
+  } catch (const MembershipError& e) {
+    return log_.Write(LogEvent(log_events::kHotRestartListRejected).With("error", e.what()));
+  }
+  if (list) handlers_.on_list(std::move(*list));
+}
+
 // Forwards each override message from one neighbour to the other unchanged, including messages of later
 // releases that this one does not understand.
 void HotRestart::HandleOverrideLine(const std::string& line,
@@ -150,6 +163,10 @@
   if (next_) next_->Send(ToLine(message));
 }
 
+void HotRestart::SendListToNext(const HeldEndpointList& list) {
+  if (next_ && !list.empty()) next_->SendInPieces(ToListMessages(list));
+}
+
 // Lines are held back until kServesByte has been sent: the first release takes any byte that it receives for
 // kServesByte.
 void HotRestart::NotifyPrevious(const std::string& line) {
--- a/sidecar/hot_restart.h
+++ b/sidecar/hot_restart.h
@@ -14,7 +14,9 @@
 
 #include "sidecar/acceptor.h"
 #include "sidecar/clock.h"
+#include "sidecar/held_endpoint_list.h"
 #include "sidecar/hot_restart_messages.h"
+#include "sidecar/list_messages.h"
 #include "sidecar/log.h"
 #include "sidecar/neighbour_process.h"
 
@@ -28,11 +30,13 @@
     std::function<void()> on_change;          // a neighbour has connected, started to serve, or ended
     std::function<void()> on_next_connected;  // the next process has the listener and awaits all overrides
     std::function<void(const OverrideMessage&)> on_override;  // received from a neighbour
+    std::function<void(EndpointList)> on_list;                // the list of the previous process
   };
 
-  // `folder`: contains the Unix socket; empty if hot restarts are not possible. `log` has to outlive this
-  // object.
-  HotRestart(boost::asio::io_context& io, std::string folder, Logger& log, Handlers handlers);
+  // `folder`: contains the Unix socket; empty if hot restarts are not possible. `clock` converts the start
+  // times in the previous process's list. `clock` and `log` have to outlive this object.
+  HotRestart(boost::asio::io_context& io, std::string folder, const UnixClock& clock, Logger& log,
+             Handlers handlers);
   ~HotRestart();
 
   // Connects to the previous process and returns its listening socket, which the caller has to close; nullopt
@@ -46,6 +50,8 @@
   // Sends an override to both neighbours, or to the next process only; does nothing for a missing one.
   void Notify(const OverrideMessage& message);
   void NotifyNext(const OverrideMessage& message);
+  // Passes the endpoint list to the next process, if there is one.
+  void SendListToNext(const HeldEndpointList& list);
 
   bool has_previous() const { return previous_ != nullptr; }  // the previous process is still running
   bool has_next() const { return next_ != nullptr; }
@@ -64,6 +70,7 @@
   void SendListener(int tries);
   void WatchPrevious();
   void WatchNext();
+  void HandleListLine(const std::string& line);
   void HandleOverrideLine(const std::string& line, const std::function<void(const std::string&)>& forward);
   void NotifyPrevious(const std::string& line);
 
@@ -81,6 +88,7 @@
   std::shared_ptr<NeighbourProcess> next_;
   bool next_serves_ = false;
   bool listener_offered_ = false;
+  ListReceiver list_receiver_;   // of the previous process's list
   std::string held_back_lines_;  // lines to send to the previous process after kServesByte
 };
 
--- a/sidecar/hot_restart_messages.h
+++ b/sidecar/hot_restart_messages.h
@@ -4,7 +4,8 @@
 // The previous process sends the descriptor of the listening socket with one byte (descriptor_passing.h), and
 // may then send override messages. The next process sends kServesByte once it serves, and may then send
 // override messages, too. An override message is one line: `+FORM` sets the override with that stored form
-// (stored_override.h), `-FORM` withdraws it.
+// (stored_override.h), `-FORM` withdraws it. The previous process also sends its endpoint list
+// (list_messages.h).
 #pragma once
 
 #include <optional>
--- a/sidecar/neighbour_process.cpp
+++ b/sidecar/neighbour_process.cpp
@@ -15,6 +15,8 @@
 // Limits the bytes that are kept of a line without a newline; the rest of the line is dropped. An override's
 // stored form with its sign is shorter.
 constexpr std::size_t kMaxLineBytes = std::size_t{128} * 1024;
+// A piece of SendInPieces() has about this many bytes.
+constexpr std::size_t kPieceBytes = std::size_t{64} * 1024;
 
 }  // namespace
 
@@ -29,6 +31,24 @@
   if (sending_.empty()) Write();
 }
 
+void NeighbourProcess::SendInPieces(std::string lines) {
+  if (closed_) return;
+  pieces_ = std::move(lines);
+  pieces_sent_ = 0;
+  if (sending_.empty()) Write();
+}
+
+std::string NeighbourProcess::TakePiece() {
+  const std::size_t end = pieces_.find('\n', pieces_sent_ + kPieceBytes);
+  const std::size_t size = end == std::string::npos ? std::string::npos : end + 1 - pieces_sent_;
+  std::string piece = pieces_.substr(pieces_sent_, size);
+  pieces_sent_ += piece.size();
+  if (pieces_sent_ < pieces_.size()) return piece;
+  pieces_ = std::string();
+  pieces_sent_ = 0;
+  return piece;
+}
+
 void NeighbourProcess::Close() {
   closed_ = true;
   error_code ignored;
@@ -63,10 +83,12 @@
 void NeighbourProcess::Write() {
   sending_ = std::move(unsent_);
   unsent_.clear();
+  if (sending_.empty()) sending_ = TakePiece();
+  if (sending_.empty()) return;
   boost::asio::async_write(socket_, boost::asio::buffer(sending_),
                            [self = shared_from_this()](error_code error, std::size_t) {
                              self->sending_.clear();
-                             if (!error && !self->closed_ && !self->unsent_.empty()) self->Write();
+                             if (!error && !self->closed_) self->Write();
                            });
 }
 
--- a/sidecar/neighbour_process.h
+++ b/sidecar/neighbour_process.h
@@ -31,6 +31,9 @@
   void Watch(Handlers handlers);
   // Queues `text` without blocking. Errors are ignored: the end of the process is reported by `on_closed`.
   void Send(const std::string& text);
+  // Sends whole lines of any number in pieces, as fast as the process reads them. Text of Send() goes before
+  // the next piece. Replaces what is left of an earlier call.
+  void SendInPieces(std::string lines);
   void Close();
   int native_handle() { return socket_.native_handle(); }
 
@@ -38,13 +41,17 @@
   void Read();
   void HandleBytes(std::size_t size);
   void Write();
+  // Removes the next piece, which ends with a line, and returns it; empty if there is none.
+  std::string TakePiece();
 
   Socket socket_;
   Handlers handlers_;
   std::array<char, 4096> read_buffer_{};
-  std::string partial_line_;  // the received part of a line
-  std::string unsent_;        // to be written after `sending_`
-  std::string sending_;       // being written; empty if no write is in progress
+  std::string partial_line_;     // the received part of a line
+  std::string unsent_;           // to be written after `sending_`
+  std::string sending_;          // being written; empty if no write is in progress
+  std::string pieces_;           // lines to be sent in pieces
+  std::size_t pieces_sent_ = 0;  // bytes of `pieces_` that were written or are being written
   bool closed_ = false;
 };
 
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -69,16 +69,18 @@
       bodies_{config.stream_capacity, std::make_shared<MemoryBudget>(
                                           config.message_memory, [this] { HandleMemoryBudgetExhausted(); })},
       hot_restart_(
-          io, config.state_folder, log_,
+          io, config.state_folder, unix_clock_, log_,
           {[this] { HandleNeighbourChange(); },
            [this] {
              operators_->store().NotifyAll([this](const StoredOverride& stored, OverrideAction action) {
                hot_restart_.NotifyNext({stored, action});
              });
+             hot_restart_.SendListToNext(held_list_);
            },
            [this](const OverrideMessage& message) {
              operators_->store().HandleOverrideFromNeighbour(message.stored, message.action);
-           }}),
+           },
+           [this](EndpointList list) { HandleInheritedList(std::move(list)); }}),
       balancer_clock_(io, [this] { host_.FireDueTimers(); }),
       host_(config.settings, config.seed, balancer_clock_, *this),
       upstreams_(io, config.settings.limits, config.settings.load_probes_report_load, bodies_, descriptors_),
@@ -199,6 +201,18 @@
 
 void Sidecar::HandleEndpointList(EndpointList list) {
   membership_.MarkListReceived();
+  held_list_.Apply(list);
+  ApplyEndpointList(std::move(list));
+  ServeIfAble();
+}
+
+void Sidecar::HandleInheritedList(EndpointList list) {
+  if (membership_.list_received()) return;
+  log_.Write(LogEvent(log_events::kHotRestartListInherited)
+                 .With("revision", list.revision)
+                 .With("upstreams", list.locations.size()));
+  discovery_.SetKnownRevision(list.revision);
+  held_list_.Apply(list);
   ApplyEndpointList(std::move(list));
   ServeIfAble();
 }
--- a/sidecar/sidecar.h
+++ b/sidecar/sidecar.h
@@ -22,6 +22,7 @@
 #include "sidecar/discovery_client.h"
 #include "sidecar/endpoint_list.h"
 #include "sidecar/graceful_shutdown.h"
+#include "sidecar/held_endpoint_list.h"
 #include "sidecar/hot_restart.h"
 #include "sidecar/listener.h"
 #include "sidecar/log.h"
@@ -68,6 +69,8 @@
  private:
   ServingState GetServingState() const;
   void HandleEndpointList(EndpointList list);
+  // The list of the previous process counts until discovery's arrives, in place of the configuration's.
+  void HandleInheritedList(EndpointList list);
   void ApplyEndpointList(EndpointList list);
   // Starts accepting clients and offers the listener to a next process, if this sidecar has an admin
   // interface. While the previous process of a hot restart runs, this is put off until requests can be
@@ -100,6 +103,7 @@
   BalancerHost host_;
   Upstreams upstreams_;
   MembershipFollower membership_;
+  HeldEndpointList held_list_;  // as discovery told it, also by way of the previous process
   DiscoveryClient discovery_;
   RequestCounters counters_;
   RequestIdRegistry request_ids_;
--- a/tests/wire_format_test.cpp
+++ b/tests/wire_format_test.cpp
@@ -173,6 +173,11 @@
     caller.Send(method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
     return ReadToEnd(caller.wire.socket);
   }
+  // The message with which an upstream that serves is passed to the next process.
+  std::string InheritedUpstream(const std::string& id) const {
+    return R"(upstream {"az":"a","boot_ms":0,"capacity_hint":1.0,"endpoint":")" + upstream_.address() +
+           R"(","model":"m","pod_group":0,"state":"active","uid":")" + id + "\"}\n";
+  }
   // The names and contents of the stored files.
   std::set<std::pair<std::string, std::string>> Files() const {
     std::set<std::pair<std::string, std::string>> files;
@@ -270,6 +275,10 @@
     return text;
   };
   EXPECT_EQ(line(), "+out-7532\n");
+  EXPECT_EQ(line(), "list 1 1 2\n");
+  EXPECT_EQ(line(), InheritedUpstream("u1"));
+  EXPECT_EQ(line(), InheritedUpstream("u2"));
+  EXPECT_EQ(line(), "list-end\n");
   ASSERT_EQ(sidecar.Status("POST", "/upstreams/enable/u2"), 200U);
   EXPECT_EQ(line(), "-out-7532\n");
   ASSERT_EQ(sidecar.Status("POST", "/drain"), 200U);
