--- a/sidecar/discovery_client.cpp
+++ b/sidecar/discovery_client.cpp
@@ -141,8 +141,9 @@
 }
 
 std::shared_ptr<DiscoveryCall> DiscoveryClient::TakeConnection() {
-  if (reusable_ && reusable_->IsReusable()) return std::exchange(reusable_, nullptr);
+  std::shared_ptr<DiscoveryCall> reusable = reusable_;
   reusable_ = nullptr;
+  if (reusable && reusable->IsReusable()) return reusable;
   DiscoveryCall::Observer& observer = *this;
   return std::make_shared<DiscoveryCall>(io_, endpoint_, observer);
 }
@@ -191,7 +192,7 @@
 
 std::optional<PendingCall> DiscoveryClient::TakeCall(const DiscoveryCall& connection) {
   if (!IsCurrent(connection)) return silent_calls_.Take(connection);
-  const std::optional<PendingCall> call = call_;
+  std::optional<PendingCall> call = call_;
   call_.reset();
   return call;
 }
--- a/tests/inherited_list_test.cpp
+++ b/tests/inherited_list_test.cpp
@@ -130,12 +130,16 @@
   bool is_silent = false;
   std::string body = json{{"rev", 41}, {"all", true}, {"targets", List({Target("u2", b_.address())})}}.dump();
   Upstream discovery([&](Wire& wire, const Request&, int) {
-    std::unique_lock lock(mutex);
-    const std::string answer = body;
-    const bool answers = !is_silent;
-    lock.unlock();
-    if (!answers) return static_cast<void>(wire.ReadUntilClosed());
-    wire.Answer(200, answer);
+    std::string answer;
+    {
+      const std::lock_guard lock(mutex);
+      if (!is_silent) answer = body;
+    }
+    if (answer.empty()) {
+      wire.ReadUntilClosed();
+    } else {
+      wire.Answer(200, answer);
+    }
   });
   const auto options = MakeOptions(discovery.address());
   auto sidecar = Start(options);
--- a/tests/lab_discovery_faults_test.cpp
+++ b/tests/lab_discovery_faults_test.cpp
@@ -132,12 +132,14 @@
   constexpr auto kWork = milliseconds(200);
   server_->SetCallWork(kWork);
   const TimePoint start = sidecar::Now();
+  constexpr int kCalls = 3;
   std::vector<std::future<std::string>> answers;
-  for (int i = 0; i < 3; ++i) {
+  answers.reserve(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
     answers.push_back(std::async([this] { return Call(server_->endpoint(0), "/discovery/hosts"); }));
   }
   for (auto& answer : answers) EXPECT_NE(answer.get().find("200 OK"), std::string::npos);
-  EXPECT_GE(sidecar::Now() - start, 3 * kWork);
+  EXPECT_GE(sidecar::Now() - start, kCalls * kWork);
 }
 
 }  // namespace
--- a/tests/long_response_hang_test.cpp
+++ b/tests/long_response_hang_test.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <memory>
 #include <ostream>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -45,11 +46,11 @@
 }
 
 std::string PartOf(Framing framing, std::size_t size) {
-  const std::string bytes(size, 'b');
+  std::string bytes(size, 'b');
   if (framing != Framing::kChunked) return bytes;
-  char length[20];
-  std::snprintf(length, sizeof length, "%zx\r\n", size);
-  return length + bytes + "\r\n";
+  std::ostringstream chunk;
+  chunk << std::hex << size << "\r\n" << bytes << "\r\n";
+  return chunk.str();
 }
 
 class HangInALongResponse : public ::testing::TestWithParam<HangForm> {};
--- a/tests/polled_discovery_test.cpp
+++ b/tests/polled_discovery_test.cpp
@@ -45,6 +45,15 @@
   EXPECT_EQ(std::string(requests[3].target()).find("/discovery/hosts?index=7&"), 0u);
 }
 
+// Options for a sidecar that polls `discovery` and knows no list yet.
+SidecarProcess::Options PolledWithoutAList(const std::string& discovery) {
+  json settings = Settings();
+  settings["MembershipMode"] = "on_request";
+  SidecarProcess::Options options = With(nullptr, settings);
+  options.discovery = discovery;
+  return options;
+}
+
 bool IsForWholeList(const Request& request) { return request.target().find("index=") == std::string::npos; }
 
 // A call that is answered at once although nothing has changed.
@@ -69,11 +78,7 @@
       wire.ReadUntilClosed();
     }
   });
-  json settings = Settings();
-  settings["MembershipMode"] = "on_request";
-  SidecarProcess::Options options = With(nullptr, settings);
-  options.discovery = service.address();
-  SidecarProcess sidecar(options);
+  SidecarProcess sidecar(PolledWithoutAList(service.address()));
   ASSERT_TRUE(sidecar.Listening());
   ASSERT_TRUE(Eventually([&] { return watches == 1; }));
   // The request's timeout of 6 s limits the test to the notification limit. With a longer wait, or with the
@@ -92,11 +97,7 @@
     if (!IsForWholeList(request)) return static_cast<void>(wire.ReadUntilClosed());
     wire.Answer(200, ++lists == 1 ? ListOf(a, 7) : ListOf(b, 3));
   });
-  json settings = Settings();
-  settings["MembershipMode"] = "on_request";
-  SidecarProcess::Options options = With(nullptr, settings);
-  options.discovery = service.address();
-  SidecarProcess sidecar(options);
+  SidecarProcess sidecar(PolledWithoutAList(service.address()));
   ASSERT_TRUE(sidecar.Listening());
 
   const bool is_heard = BecomesServedBy(sidecar, "b /page/k");
--- a/tests/sidecar/list_messages_test.cpp
+++ b/tests/sidecar/list_messages_test.cpp
@@ -91,15 +91,17 @@
   HeldEndpointList held;
   held.Apply(Parse(41, true, json::array({serving_})));
   const std::string entry = "upstream " + serving_.dump() + "\n";
+  std::string same_entry_twice = entry;
+  same_entry_twice += entry;
   for (const std::string& bad :
        {std::string("list\n"), std::string("list 1\n"), std::string("list 2 41 1\n"), "list 1 41 2\n" + entry,
-        "list 1 41 2\n" + entry + entry, std::string("list 1 41 1\nupstream {\"uid\":\"u2\"\n"),
+        "list 1 41 2\n" + same_entry_twice, std::string("list 1 41 1\nupstream {\"uid\":\"u2\"\n"),
         std::string("list 1 41 1\nupstream {\"uid\":\"u2\",\"state\":\"asleep\"}\n"),
         std::string("list 1 41 1\nupstream []\n"), std::string("list 1 -3 1\n"),
         std::string("list 1 41 99999999999999999999999\n")}) {
     std::optional<EndpointList> received;
     try {
-      received = Receive(bad + "list-end\n");
+      received = Receive(std::string(bad).append("list-end\n"));
     } catch (const MembershipError&) {
     }
     EXPECT_FALSE(received) << bad;
