--- a/lab/spec/experiment.h
+++ b/lab/spec/experiment.h
@@ -155,8 +155,8 @@
   kDiscoverySlow,
   kDiscoveryLate,  // each answer of discovery begins `delay` later
   kDiscoveryBusy,  // discovery works for `delay` on each call of any sidecar, one at a time
-  kClockStepped,  // the wall clocks of `share` of the real sidecars' machines are stepped by `step`
-  kBurst,         // the load is multiplied by `factor`
+  kClockStepped,   // the wall clocks of `share` of the real sidecars' machines are stepped by `step`
+  kBurst,          // the load is multiplied by `factor`
 };
 
 // Name in experiment files: `crash`, `zone_lost` and so on.
