--- a/sidecar/held_endpoint_list.h
+++ b/sidecar/held_endpoint_list.h
@@ -1,4 +1,4 @@
-// The endpoint list as this sidecar last had it from discovery, kept for the process that replaces this one.
+// The endpoint list as this sidecar last had it, kept for the process that replaces this one.
 #pragma once
 
 #include <cstdint>
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -75,7 +75,7 @@
              operators_->store().NotifyAll([this](const StoredOverride& stored, OverrideAction action) {
                hot_restart_.NotifyNext({stored, action});
              });
-             hot_restart_.SendListToNext(held_list_);
+             if (membership_.list_received() || list_inherited_) hot_restart_.SendListToNext(held_list_);
            },
            [this](const OverrideMessage& message) {
              operators_->store().HandleOverrideFromNeighbour(message.stored, message.action);
@@ -115,6 +115,7 @@
   // Without a restored list there is nothing to apply changes to, so that discovery is asked for the whole
   // list.
   if (!known.locations.empty()) discovery_.SetKnownRevision(known.revision);
+  held_list_.Apply(known);
   ApplyEndpointList(std::move(known));
   // Where membership is polled, the balancer starts the queries (see Subscribe()).
   if (!settings_.polled_membership) discovery_.Ask();
@@ -209,6 +210,7 @@
 
 void Sidecar::HandleInheritedList(EndpointList list) {
   if (membership_.list_received()) return;
+  list_inherited_ = true;
   log_.Write(LogEvent(log_events::kHotRestartListInherited)
                  .With("revision", list.revision)
                  .With("upstreams", list.locations.size()));
--- a/sidecar/sidecar.h
+++ b/sidecar/sidecar.h
@@ -103,7 +103,10 @@
   BalancerHost host_;
   Upstreams upstreams_;
   MembershipFollower membership_;
-  HeldEndpointList held_list_;  // as discovery told it, also by way of the previous process
+  // The list of the configuration, the previous process or discovery, whichever came last, with discovery's
+  // changes to it. Passed to the next process, unless it is the configuration's.
+  HeldEndpointList held_list_;
+  bool list_inherited_ = false;  // from the previous process
   DiscoveryClient discovery_;
   RequestCounters counters_;
   RequestIdRegistry request_ids_;
--- a/sidecar/upstream_connection_response.cpp
+++ b/sidecar/upstream_connection_response.cpp
@@ -88,9 +88,8 @@
 void UpstreamConnection::LimitResponse(TimePoint last_response_by) {
   if (!HasExchange()) return;
   exchange_.request.last_response_by = last_response_by;
-  if (state_ != State::kStreamingBody) return exchange_.stream_deadline.LimitTo(last_response_by);
   exchange_.stream_deadline.LimitTo(last_response_by);
-  ArmTimer(exchange_.stream_deadline.at());
+  if (state_ == State::kStreamingBody) ArmTimer(exchange_.stream_deadline.at());
 }
 
 // The pending read of the body continues. A response that has begun is not given up because its body is late.
