Keep the held endpoint list where each list is applied

Seen on reading the change once more: the configuration's, the previous process's and discovery's list each went into the held list right before they were applied. Now ApplyEndpointList() does both; behaviour is the same.

--- a/sidecar/discovery_client.cpp
+++ b/sidecar/discovery_client.cpp
@@ -254,8 +254,11 @@
   silent_since_.reset();
   if (is_current) {
     LogRecovery();
-    silent_calls_.DropCallsForChanges();
-    if (!needs_whole_list_) silent_calls_.DropAll();
+    if (needs_whole_list_) {
+      silent_calls_.DropCallsForChanges();
+    } else {
+      silent_calls_.DropAll();
+    }
   }
   if (call_) return call.connection->Drop();
   if (reusable_) reusable_->Drop();
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -115,7 +115,6 @@
   // Without a restored list there is nothing to apply changes to, so that discovery is asked for the whole
   // list.
   if (!known.locations.empty()) discovery_.SetKnownRevision(known.revision);
-  held_list_.Apply(known);
   ApplyEndpointList(std::move(known));
   // Where membership is polled, the balancer starts the queries (see Subscribe()).
   if (!settings_.polled_membership) discovery_.Ask();
@@ -203,7 +202,6 @@
 
 void Sidecar::HandleEndpointList(EndpointList list) {
   membership_.MarkListReceived();
-  held_list_.Apply(list);
   ApplyEndpointList(std::move(list));
   ServeIfAble();
 }
@@ -215,12 +213,12 @@
                  .With("revision", list.revision)
                  .With("upstreams", list.locations.size()));
   discovery_.SetKnownRevision(list.revision);
-  held_list_.Apply(list);
   ApplyEndpointList(std::move(list));
   ServeIfAble();
 }
 
 void Sidecar::ApplyEndpointList(EndpointList list) {
+  held_list_.Apply(list);
   if (membership_.Apply(std::move(list)) == NextList::kWhole) discovery_.RequestFullList();
 }
 
--- a/tests/inherited_list_test.cpp
+++ b/tests/inherited_list_test.cpp
@@ -1,7 +1,5 @@
 // An upgrade while discovery is down (review/8): the new process must not send to an upstream that the old
 // one knew to drain or to be gone.
-#include <sys/socket.h>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/local/stream_protocol.hpp>
